--- /dev/null
+++ b/packages/core/crocusbay/coordination/document.py
@@ -0,0 +1,42 @@
+"""Document: one document from the service that holds it."""
+
+from dataclasses import dataclass
+
+from crocusbay.coordination.quarantine import Quarantine, fingerprint
+from crocusbay.coordination.runtime import DeploymentRuntime
+from crocusbay.coordination.scatter import Job, Leg, Scatter
+from crocusbay.protocol.upstream import document_target
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
+
+RETRY_AFTER_SECONDS = 0.2
+QUARANTINE_RETRY_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentQuery:
+    """Describe one document request; the deadline is on the monotonic clock."""
+
+    request: str
+    service: str
+    document: str
+    deadline: float
+
+
+async def fetch_document(
+    runtime: DeploymentRuntime, quarantine: Quarantine, query: DocumentQuery
+) -> Verdict:
+    """Return the verdict; Ran holds the upstream's response."""
+    target = document_target(query.document)
+    identity = fingerprint(runtime.name, f"{query.service}{target}")
+    if quarantine.holds(identity, query.service):
+        return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+    leg = Leg(query.service, target)
+    job = Job(query.request, identity, query.deadline)
+    await Scatter(runtime, quarantine, job, [leg]).run()
+    match leg.verdict:
+        case Ran():
+            return leg.verdict
+        case NotRun(cause, retry_after, detail):
+            return NotRun(cause, retry_after or RETRY_AFTER_SECONDS, detail)
+        case MayHaveRun(cause, retry_after, detail):
+            return MayHaveRun(cause, retry_after or RETRY_AFTER_SECONDS, detail)
--- /dev/null
+++ b/packages/core/crocusbay/coordination/membership.py
@@ -0,0 +1,85 @@
+"""Membership: which hosts there are, by their heartbeats and the platform's list."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from crocusbay.protocol.platform import ListedHost
+from crocusbay.state import Member
+
+HEARTBEAT_SECONDS = 0.5
+LOST_SECONDS = 2.0
+FORGET_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class Sighting:
+    """Hold the newest description of a host and when it was heard itself."""
+
+    member: Member
+    heard_at: float
+    is_lost: bool = False
+
+
+class Membership:
+    """Hold the other hosts by name."""
+
+    def __init__(self, name: str, now: Callable[[], float]) -> None:
+        self.name = name
+        self.by_name: dict[str, Sighting] = {}
+        self.listed: dict[str, ListedHost] = {}
+        self._now = now
+
+    @property
+    def live(self) -> list[Member]:
+        """Return the hosts heard lately, those leaving included."""
+        return [s.member for s in self.by_name.values() if not s.is_lost]
+
+    @property
+    def serving(self) -> list[Member]:
+        """Return the hosts that callers may be sent to."""
+        return [
+            member
+            for member in self.live
+            if not member.is_leaving and not self._is_listed_leaving(member.name)
+        ]
+
+    @property
+    def host_count(self) -> int:
+        """Return how many hosts may hold connections, this one included.
+
+        A host lost a short while ago counts: it may be paused or cut off from this
+        host alone, with its connections still open.
+        """
+        return 1 + len(self.by_name)
+
+    def take(self, member: Member) -> bool:
+        """Take a host's own description; return whether the host is new or back."""
+        if member.name == self.name:
+            return False
+        sighting = self.by_name.get(member.name)
+        if sighting and not member.is_newer_than(sighting.member):
+            return False
+        is_back = sighting is None or sighting.is_lost
+        self.by_name[member.name] = Sighting(member, self._now())
+        return is_back
+
+    def take_list(self, hosts: Iterable[ListedHost]) -> None:
+        """Take the platform's lagging list."""
+        self.listed = {host.name: host for host in hosts}
+
+    def tick(self) -> list[Member]:
+        """Mark silent hosts as lost and forget old ones; return the newly lost."""
+        now = self._now()
+        lost = []
+        for name, sighting in list(self.by_name.items()):
+            silence = now - sighting.heard_at
+            if silence > FORGET_SECONDS:
+                del self.by_name[name]
+            elif silence > LOST_SECONDS and not sighting.is_lost:
+                sighting.is_lost = True
+                lost.append(sighting.member)
+        return lost
+
+    def _is_listed_leaving(self, name: str) -> bool:
+        listed = self.listed.get(name)
+        return listed is not None and listed.is_leaving
--- /dev/null
+++ b/packages/core/crocusbay/coordination/objects.py
@@ -0,0 +1,41 @@
+"""Replicated objects: configuration and status, kept newest on every host.
+
+A version only ever grows, so no source (watch, poll or peer) can revert an object.
+"""
+
+from collections.abc import Callable, Iterable
+
+from crocusbay.protocol.platform import StoredObject
+
+OnChange = Callable[[StoredObject], None]
+
+
+class ObjectCache:
+    """Hold the newest version seen of each object."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[str, StoredObject] = {}
+        self.revision = 0
+        self._subscribers: list[OnChange] = []
+
+    def subscribe(self, on_change: OnChange) -> None:
+        """Call back for each newer version."""
+        self._subscribers.append(on_change)
+
+    def offer(self, objects: Iterable[StoredObject], revision: int) -> bool:
+        """Take objects complete up to a revision; return whether any was newer."""
+        newer = [each for each in objects if self._is_newer(each)]
+        for each in sorted(newer, key=lambda stored: stored.version):
+            self.by_key[each.key] = each
+            for on_change in self._subscribers:
+                on_change(each)
+        self.revision = max(self.revision, revision)
+        return bool(newer)
+
+    def changed_after(self, revision: int) -> tuple[StoredObject, ...]:
+        """Return the objects whose version is beyond the revision."""
+        return tuple(o for o in self.by_key.values() if o.version > revision)
+
+    def _is_newer(self, offered: StoredObject) -> bool:
+        held = self.by_key.get(offered.key)
+        return held is None or offered.version > held.version
--- /dev/null
+++ b/packages/core/crocusbay/coordination/quarantine.py
@@ -0,0 +1,70 @@
+"""Quarantine: stops requests that crash the servers that run them."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import xxhash
+
+from crocusbay.protocol.peer import Strike
+
+STRIKES_TO_QUARANTINE = 2
+STRIKE_LIFETIME_SECONDS = 120.0
+MAX_ENTRIES = 10_000
+MAX_SHARED_STRIKES = 64
+EVERY_SERVICE = "*"
+
+
+def fingerprint(deployment: str, target: str, body: bytes = b"") -> str:
+    """Return the identity of a request that its resent copies share."""
+    digest = xxhash.xxh3_128(deployment.encode())
+    digest.update(b"\0" + target.encode() + b"\0" + body)
+    return digest.hexdigest()
+
+
+@dataclass(slots=True)
+class _Entry:
+    upstreams: set[str]
+    expires: float
+
+
+class Quarantine:
+    """Count, for each request and service, the servers it crashed."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._by_request: OrderedDict[tuple[str, str], _Entry] = OrderedDict()
+
+    def strike(self, strike: Strike) -> bool:
+        """Take one strike; return whether it was new."""
+        key = (strike.fingerprint, strike.service)
+        entry = self._by_request.get(key)
+        if entry is None or entry.expires < self._now():
+            entry = _Entry(set(), self._now() + STRIKE_LIFETIME_SECONDS)
+            self._by_request[key] = entry
+            self._by_request.move_to_end(key)
+        is_new = strike.upstream not in entry.upstreams
+        entry.upstreams.add(strike.upstream)
+        while len(self._by_request) > MAX_ENTRIES:
+            self._by_request.popitem(last=False)
+        return is_new
+
+    def holds(self, request: str, service: str = EVERY_SERVICE) -> bool:
+        """Return whether the request must not run at the service, or anywhere."""
+        entry = self._by_request.get((request, service))
+        if entry is None or entry.expires < self._now():
+            return False
+        return len(entry.upstreams) >= STRIKES_TO_QUARANTINE
+
+    def clear(self, request: str, service: str) -> None:
+        """Forget the strikes against a request, since the service answered it."""
+        self._by_request.pop((request, service), None)
+
+    def shared(self) -> tuple[Strike, ...]:
+        """Return the latest strikes, for other hosts."""
+        strikes: list[Strike] = []
+        for (request, service), entry in reversed(self._by_request.items()):
+            strikes += [Strike(request, service, name) for name in entry.upstreams]
+            if len(strikes) >= MAX_SHARED_STRIKES:
+                break
+        return tuple(strikes[:MAX_SHARED_STRIKES])
--- /dev/null
+++ b/packages/core/crocusbay/coordination/runtime.py
@@ -0,0 +1,163 @@
+"""Runtime: one deployment as it is in force on this host."""
+
+from dataclasses import replace
+
+import anyio
+
+from crocusbay.coordination.budget import Budget
+from crocusbay.coordination.context import Context
+from crocusbay.coordination.server import Server
+from crocusbay.state import (
+    Deployment,
+    EventKind,
+    IndexStatus,
+    Service,
+    Snapshot,
+    Upstream,
+    UpstreamStatus,
+)
+
+BUDGET_BURST = 50.0
+SWEEP_SECONDS = 0.05
+LACKING_SECONDS = 0.25
+
+
+class DeploymentRuntime:
+    """Hold the configuration, snapshots and servers of a deployment."""
+
+    def __init__(
+        self, deployment: Deployment, context: Context, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self.context = context
+        self.config = deployment
+        self.index = IndexStatus()
+        self.servers_by_name: dict[str, Server] = {}
+        self.servers_by_service: dict[str, list[Server]] = {}
+        self.hedges = Budget(deployment.policy.hedge_ratio, BUDGET_BURST)
+        self.retries = Budget(deployment.policy.retry_ratio, BUDGET_BURST)
+        self._lacking_until_by_version: dict[int, float] = {}
+        self._status = UpstreamStatus()
+        self._hosts = 1
+        self._tasks = tasks
+
+    @property
+    def name(self) -> str:
+        """Return the deployment's name."""
+        return self.config.name
+
+    def set_config(self, deployment: Deployment) -> None:
+        """Put a configuration in force."""
+        self.config = deployment
+        self.hedges.ratio = deployment.policy.hedge_ratio
+        self.retries.ratio = deployment.policy.retry_ratio
+        self._rebuild()
+
+    def set_index(self, index: IndexStatus) -> None:
+        """Put a list of snapshots in force."""
+        self.index = index
+
+    def set_upstreams(self, status: UpstreamStatus) -> None:
+        """Put a list of servers in force."""
+        self._status = status
+        self._rebuild()
+
+    def set_hosts(self, hosts: int) -> None:
+        """Divide connection limits among this many hosts."""
+        if hosts == self._hosts:
+            return
+        self._hosts = hosts
+        for server in self.servers_by_name.values():
+            server.pool.set_share(self._share(server.service))
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the newest snapshot that no server lacked a moment ago."""
+        now = self.context.timers.now()
+        held = [
+            snapshot
+            for snapshot in self.index.snapshots
+            if self._lacking_until_by_version.get(snapshot.version, 0.0) <= now
+        ]
+        newest = max(held, key=lambda each: each.version, default=None)
+        return newest or self.index.newest
+
+    def mark_lacking(self, version: int) -> None:
+        """Start no search at a snapshot that a server lacks, for a while."""
+        until = self.context.timers.now() + LACKING_SECONDS
+        self._lacking_until_by_version[version] = until
+
+    def choose(self, service: str, exclude: frozenset[str]) -> Server | None:
+        """Return the server to ask next, or None if no server may be asked."""
+        servers = [
+            server
+            for server in self.servers_by_service.get(service, ())
+            if server.upstream.name not in exclude and not server.is_leaving
+        ]
+        up = [server for server in servers if server.is_up]
+        if up:
+            return min(up, key=lambda server: server.score)
+        resting = [server for server in servers if server.in_flight == 0]
+        return min(resting, key=lambda server: server.score, default=None)
+
+    def has_server(self, service: str) -> bool:
+        """Return whether any server of the service takes work."""
+        servers = self.servers_by_service.get(service, ())
+        return any(not server.is_leaving for server in servers)
+
+    def count(self, reason: str, requests: int = 1) -> None:
+        """Count requests to upstreams."""
+        self.context.metrics.sub_requests.labels(self.name, reason).inc(requests)
+
+    async def run_sweeps(self) -> None:
+        """Close overdue connections until cancelled."""
+        async for _ in self.context.timers.every(SWEEP_SECONDS):
+            for server in list(self.servers_by_name.values()):
+                server.pool.sweep()
+
+    def _share(self, service: Service) -> int:
+        return max(1, service.connections // self._hosts)
+
+    def _rebuild(self) -> None:
+        wanted = {
+            upstream.name: upstream
+            for upstream in self._status.upstreams
+            if upstream.service in self.config.by_service
+        }
+        for name in list(self.servers_by_name):
+            if not self._is_same_server(name, wanted.get(name)):
+                self._remove(name)
+        for name, upstream in wanted.items():
+            if name in self.servers_by_name:
+                self._update(self.servers_by_name[name], upstream)
+            else:
+                self._add(upstream)
+        grouped: dict[str, list[Server]] = {}
+        for server in self.servers_by_name.values():
+            grouped.setdefault(server.upstream.service, []).append(server)
+        self.servers_by_service = grouped
+
+    def _is_same_server(self, name: str, upstream: Upstream | None) -> bool:
+        if upstream is None:
+            return False
+        current = self.servers_by_name[name].upstream
+        return current == replace(upstream, is_leaving=current.is_leaving)
+
+    def _update(self, server: Server, upstream: Upstream) -> None:
+        if upstream.is_leaving and not server.upstream.is_leaving:
+            self.context.timeline.record(
+                EventKind.UPSTREAM_LEAVING,
+                deployment=self.name,
+                detail=upstream.name,
+            )
+        server.upstream = upstream
+        server.service = self.config.by_service[upstream.service]
+        server.pool.set_share(self._share(server.service))
+
+    def _add(self, upstream: Upstream) -> None:
+        service = self.config.by_service[upstream.service]
+        server = Server(upstream, service, self._share(service), self.context)
+        self.servers_by_name[upstream.name] = server
+        self._tasks.start_soon(server.pool.run)
+
+    def _remove(self, name: str) -> None:
+        server = self.servers_by_name.pop(name)
+        server.pool.close()
--- /dev/null
+++ b/packages/core/crocusbay/coordination/scatter.py
@@ -0,0 +1,294 @@
+"""Scatter: sends one request to many services, with hedges, retries and a deadline."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from crocusbay.coordination.mailbox import Mailbox
+from crocusbay.coordination.quarantine import EVERY_SERVICE, Quarantine
+from crocusbay.coordination.runtime import DeploymentRuntime
+from crocusbay.coordination.server import Server
+from crocusbay.protocol.peer import Strike
+from crocusbay.protocol.upstream import SubRequest, SubResponse, cancel_target
+from crocusbay.state import Cause, EventKind, MayHaveRun, NotRun, Ran, Verdict
+from crocusbay.transport import Exchange
+
+UNKNOWN_LATENCY_SECONDS = 0.02
+RETRY_PAUSE_SECONDS = 0.02
+CANCEL_DEADLINE_SECONDS = 0.5
+
+
+class Reason(StrEnum):
+    """Name why a request goes upstream."""
+
+    PRIMARY = "primary"
+    RETRY = "retry"
+    HEDGE = "hedge"
+    CANCEL = "cancel"
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    """Hold the part of a request that goes to one service."""
+
+    service: str
+    target: str
+    verdict: Verdict | None = None
+    last_failure: Verdict | None = None
+    tried: set[str] = field(default_factory=set)
+    open: dict[Exchange, Server] = field(default_factory=dict)
+    is_held: bool = False
+    has_hedged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Describe a scattered request; the deadline is on the monotonic clock."""
+
+    request: str
+    fingerprint: str
+    deadline: float
+    snapshot: int = 0
+
+
+Accept = Callable[[Leg, SubResponse], Cause | None]
+
+
+def accept_any(leg: Leg, response: SubResponse) -> Cause | None:
+    """Accept every response."""
+    return None
+
+
+class Scatter:
+    """Run one scattered request in the task of its caller."""
+
+    def __init__(
+        self,
+        runtime: DeploymentRuntime,
+        quarantine: Quarantine,
+        job: Job,
+        legs: list[Leg],
+        accept: Accept = accept_any,
+    ) -> None:
+        self.legs = legs
+        self.is_stopped = False
+        self._runtime = runtime
+        self._quarantine = quarantine
+        self._job = job
+        self._accept = accept
+        self._timers = runtime.context.timers
+        self._mailbox = Mailbox(self._timers)
+        self._due: list[tuple[float, int, Leg, Reason]] = []
+        self._order = itertools.count()
+        self._pending = len(legs)
+        self._answers = 0
+
+    async def run(self) -> None:
+        """Fill the verdict of each leg by the deadline."""
+        try:
+            for leg in self.legs:
+                self._start(leg, Reason.PRIMARY)
+            while self._pending and not self.is_stopped:
+                if self._timers.now() >= self._job.deadline:
+                    break
+                await self._step()
+        finally:
+            self._end()
+
+    def stop(self) -> None:
+        """End the request early, as when its snapshot is gone."""
+        self.is_stopped = True
+
+    async def _step(self) -> None:
+        next_due = self._due[0][0] if self._due else self._job.deadline
+        items = await self._mailbox.take_until(min(next_due, self._job.deadline))
+        for leg, server, exchange, verdict in items:
+            self._take(leg, server, exchange, verdict)
+        now = self._timers.now()
+        while self._due and self._due[0][0] <= now:
+            _, _, leg, reason = heapq.heappop(self._due)
+            self._run_due(leg, reason)
+
+    def _start(self, leg: Leg, reason: Reason) -> bool:
+        """Send the leg to the best server not tried; return whether one was there."""
+        if self._quarantine.holds(self._job.fingerprint, leg.service):
+            self._resolve(leg, NotRun(Cause.QUARANTINED))
+            return False
+        server = self._runtime.choose(leg.service, frozenset(leg.tried))
+        if server is None:
+            if reason is not Reason.HEDGE:
+                self._wait_for_server(leg)
+            return False
+        leg.tried.add(server.upstream.name)
+        self._runtime.count(reason)
+        if reason is Reason.PRIMARY:
+            self._runtime.hedges.earn()
+            self._runtime.retries.earn()
+        sub = SubRequest(
+            self._job.request,
+            "GET",
+            leg.target,
+            self._job.deadline,
+            snapshot=self._job.snapshot,
+        )
+        self._schedule_hedge(leg, server)
+        exchange = server.send(sub, lambda s, e, v: self._mailbox.put((leg, s, e, v)))
+        if not exchange.is_done:
+            leg.open[exchange] = server
+        return True
+
+    def _wait_for_server(self, leg: Leg) -> None:
+        """Try the tried servers again after a pause, or give the leg up."""
+        if not self._runtime.has_server(leg.service):
+            self._resolve(leg, leg.last_failure or NotRun(Cause.NO_UPSTREAM))
+            return
+        if leg.open:
+            return
+        leg.tried.clear()
+        self._schedule(RETRY_PAUSE_SECONDS, leg, Reason.RETRY)
+
+    def _schedule(self, delay: float, leg: Leg, reason: Reason) -> None:
+        when = self._timers.now() + delay
+        heapq.heappush(self._due, (when, next(self._order), leg, reason))
+
+    def _schedule_hedge(self, leg: Leg, server: Server) -> None:
+        if leg.has_hedged:
+            return
+        floor = self._runtime.config.policy.hedge_floor
+        bound = server.latency.bound or UNKNOWN_LATENCY_SECONDS
+        self._schedule(max(floor, bound), leg, Reason.HEDGE)
+
+    def _run_due(self, leg: Leg, reason: Reason) -> None:
+        if leg.verdict is not None or leg.is_held:
+            return
+        if reason is Reason.HEDGE:
+            self._hedge(leg)
+        elif not leg.open:
+            self._retry(leg)
+
+    def _hedge(self, leg: Leg) -> None:
+        if leg.has_hedged or not leg.open or not self._runtime.hedges.spend():
+            return
+        leg.has_hedged = True
+        if self._start(leg, Reason.HEDGE):
+            self._record(EventKind.HEDGE, leg.service)
+
+    def _retry(self, leg: Leg) -> None:
+        if not self._runtime.retries.spend():
+            self._resolve(leg, leg.last_failure or NotRun(Cause.OVERLOAD))
+            return
+        if self._start(leg, Reason.RETRY):
+            self._record(EventKind.RETRY, leg.service)
+
+    def _take(
+        self, leg: Leg, server: Server, exchange: Exchange, verdict: Verdict
+    ) -> None:
+        leg.open.pop(exchange, None)
+        if leg.verdict is not None:
+            return
+        if isinstance(verdict, Ran):
+            self._clear_suspicion(leg)
+            cause = self._accept(leg, verdict.answer)
+            if cause is None:
+                self._resolve(leg, verdict)
+                return
+            verdict = NotRun(cause)
+        self._fail_attempt(leg, server, verdict)
+
+    def _fail_attempt(self, leg: Leg, server: Server, verdict: Verdict) -> None:
+        leg.last_failure = verdict
+        self._runtime.context.metrics.attempts_failed.labels(
+            self._runtime.name, verdict.cause
+        ).inc()
+        self._record(
+            EventKind.ATTEMPT_FAILED, f"{server.upstream.name} {verdict.cause}"
+        )
+        if verdict == MayHaveRun(Cause.RESET):
+            self._strike(leg, server)
+        if leg.verdict is None and not leg.open and not leg.is_held:
+            self._retry(leg)
+        self._settle_held()
+
+    def _strike(self, leg: Leg, server: Server) -> None:
+        """Suspect the request of the crash until another server answers it."""
+        name = server.upstream.name
+        job = self._job
+        self._quarantine.strike(Strike(job.fingerprint, leg.service, name))
+        if self._answers or len(self.legs) == 1:
+            return
+        self._quarantine.strike(Strike(job.fingerprint, EVERY_SERVICE, name))
+        leg.is_held = True
+
+    def _settle_held(self) -> None:
+        """End or retry once every leg without a verdict is held on suspicion."""
+        waiting = [leg for leg in self.legs if leg.verdict is None]
+        if not waiting or not all(leg.is_held for leg in waiting):
+            return
+        if self._quarantine.holds(self._job.fingerprint):
+            self._record(EventKind.QUARANTINED, self._job.fingerprint)
+            self.stop()
+        else:
+            self._retry_held()
+
+    def _clear_suspicion(self, leg: Leg) -> None:
+        """Retry the legs held on suspicion, since a server answered the request."""
+        self._answers += 1
+        self._quarantine.clear(self._job.fingerprint, leg.service)
+        if self._answers == 1:
+            self._quarantine.clear(self._job.fingerprint, EVERY_SERVICE)
+            self._retry_held()
+
+    def _retry_held(self) -> None:
+        for leg in self.legs:
+            if leg.is_held:
+                leg.is_held = False
+                self._retry(leg)
+
+    def _resolve(self, leg: Leg, verdict: Verdict) -> None:
+        if leg.verdict is not None:
+            return
+        leg.verdict = verdict
+        self._pending -= 1
+        self._cancel_open(leg)
+
+    def _cancel_open(self, leg: Leg) -> None:
+        """Cancel the attempts under way where a connection is free to say so."""
+        for exchange, server in leg.open.items():
+            was_sent = exchange.is_sent
+            server.abandon(exchange)
+            if was_sent and server.pool.has_idle:
+                self._runtime.count(Reason.CANCEL)
+                server.pool.submit(Exchange(self._cancel_request(), _ignore))
+        leg.open.clear()
+
+    def _cancel_request(self) -> SubRequest:
+        return SubRequest(
+            f"{self._job.request}.cancel",
+            "POST",
+            cancel_target(self._job.request),
+            self._timers.now() + CANCEL_DEADLINE_SECONDS,
+        )
+
+    def _end(self) -> None:
+        is_quarantined = self._quarantine.holds(self._job.fingerprint)
+        for leg in self.legs:
+            if leg.verdict is not None:
+                continue
+            if is_quarantined and not self._answers:
+                self._resolve(leg, MayHaveRun(Cause.QUARANTINED))
+            else:
+                self._resolve(leg, leg.last_failure or MayHaveRun(Cause.DEADLINE))
+
+    def _record(self, kind: EventKind, detail: str) -> None:
+        self._runtime.context.timeline.record(
+            kind,
+            request=self._job.request,
+            deployment=self._runtime.name,
+            detail=detail,
+        )
+
+
+def _ignore(exchange: Exchange, verdict: Verdict) -> None:
+    """Drop the verdict of a cancellation."""
--- /dev/null
+++ b/packages/core/crocusbay/coordination/search.py
@@ -0,0 +1,200 @@
+"""Search: one query over every shard of one snapshot, answered with its coverage."""
+
+from dataclasses import dataclass, field
+
+from crocusbay.coordination.quarantine import Quarantine, fingerprint
+from crocusbay.coordination.runtime import DeploymentRuntime
+from crocusbay.coordination.scatter import Job, Leg, Scatter
+from crocusbay.protocol.codec import from_json
+from crocusbay.protocol.upstream import (
+    STATUS_WRONG_SNAPSHOT,
+    HeldSnapshots,
+    Hit,
+    SearchAnswer,
+    SubResponse,
+    search_target,
+)
+from crocusbay.state import (
+    Cause,
+    Coverage,
+    EventKind,
+    MissingService,
+    NotRun,
+    Ran,
+    Snapshot,
+    Verdict,
+)
+
+MAX_RESTARTS = 3
+QUARANTINE_RETRY_SECONDS = 120.0
+NO_INDEX_RETRY_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class SearchQuery:
+    """Describe one search; the deadline is on the monotonic clock."""
+
+    request: str
+    query: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class SearchResult:
+    """Hold the merged hits of one snapshot and how much of it they cover."""
+
+    snapshot: int
+    coverage: Coverage
+    hits: tuple[Hit, ...]
+
+
+@dataclass(slots=True)
+class _Pass:
+    """Collect the answers of one pass over one snapshot."""
+
+    snapshot: Snapshot
+    answers_by_service: dict[str, SearchAnswer] = field(default_factory=dict)
+    lacking_held: frozenset[int] | None = None
+
+
+class Search:
+    """Run one search, starting again when its snapshot is gone from a server."""
+
+    def __init__(
+        self, runtime: DeploymentRuntime, quarantine: Quarantine, query: SearchQuery
+    ) -> None:
+        self._runtime = runtime
+        self._quarantine = quarantine
+        self._query = query
+        self._fingerprint = fingerprint(runtime.name, "search", query.query.encode())
+
+    async def run(self) -> Verdict:
+        """Return Ran with a SearchResult, or NotRun if no shard answered."""
+        if self._quarantine.holds(self._fingerprint):
+            return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+        snapshot = self._runtime.snapshot()
+        if snapshot is None:
+            return NotRun(Cause.NO_INDEX, NO_INDEX_RETRY_SECONDS)
+        best: SearchResult | None = None
+        for _ in range(MAX_RESTARTS):
+            this_pass, legs = await self._run_pass(snapshot)
+            best = max(best, _merge(this_pass, legs), key=_documents)
+            successor = self._successor(this_pass)
+            if successor is None:
+                break
+            self._record_restart(snapshot, successor)
+            snapshot = successor
+        if best.coverage.shards_answered == 0:
+            return self._refuse(best)
+        return Ran(best)
+
+    def _refuse(self, result: SearchResult) -> Verdict:
+        if self._quarantine.holds(self._fingerprint):
+            return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+        causes = [missing.cause for missing in result.coverage.missing]
+        cause = max(set(causes), key=causes.count, default=Cause.NO_INDEX)
+        return NotRun(cause, RETRY_AFTER_SECONDS, "no shard answered")
+
+    async def _run_pass(self, snapshot: Snapshot) -> tuple[_Pass, list[Leg]]:
+        this_pass = _Pass(snapshot)
+        legs = [
+            Leg(service, search_target(self._query.query, _names(shards)))
+            for service, shards in snapshot.by_service.items()
+        ]
+        job = Job(
+            self._query.request,
+            self._fingerprint,
+            self._query.deadline,
+            snapshot.version,
+        )
+
+        def accept(leg: Leg, response: SubResponse) -> Cause | None:
+            if response.status == STATUS_WRONG_SNAPSHOT:
+                return self._note_lacking(this_pass, scatter, response)
+            return _take_answer(this_pass, leg, response)
+
+        scatter = Scatter(self._runtime, self._quarantine, job, legs, accept)
+        await scatter.run()
+        return this_pass, legs
+
+    def _note_lacking(
+        self, this_pass: _Pass, scatter: Scatter, response: SubResponse
+    ) -> Cause:
+        """Stop the pass if the server that lacks its snapshot holds another."""
+        held = from_json(response.body, HeldSnapshots)
+        if held.is_error():
+            return Cause.PROTOCOL
+        this_pass.lacking_held = frozenset(held.ok.held)
+        if self._successor(this_pass) is not None:
+            self._runtime.mark_lacking(this_pass.snapshot.version)
+            scatter.stop()
+        return Cause.WRONG_SNAPSHOT
+
+    def _successor(self, this_pass: _Pass) -> Snapshot | None:
+        if this_pass.lacking_held is None:
+            return None
+        known = self._runtime.index.by_version
+        versions = this_pass.lacking_held & known.keys() - {this_pass.snapshot.version}
+        return known[max(versions)] if versions else None
+
+    def _record_restart(self, old: Snapshot, new: Snapshot) -> None:
+        self._runtime.context.timeline.record(
+            EventKind.SNAPSHOT_RESTART,
+            request=self._query.request,
+            deployment=self._runtime.name,
+            detail=f"{old.version} -> {new.version}",
+        )
+
+
+def _names(shards: tuple) -> tuple[str, ...]:
+    return tuple(shard.name for shard in shards)
+
+
+def _documents(result: SearchResult | None) -> int:
+    return -1 if result is None else result.coverage.documents_answered
+
+
+def _take_answer(this_pass: _Pass, leg: Leg, response: SubResponse) -> Cause | None:
+    """Keep an answer of the pass's snapshot; refuse any other."""
+    decoded = from_json(response.body, SearchAnswer)
+    if decoded.is_error():
+        return Cause.PROTOCOL
+    answer = decoded.ok
+    if answer.snapshot != this_pass.snapshot.version:
+        return Cause.WRONG_SNAPSHOT
+    this_pass.answers_by_service[leg.service] = answer
+    return None
+
+
+def _merge(this_pass: _Pass, legs: list[Leg]) -> SearchResult:
+    shards = documents = 0
+    hits: list[Hit] = []
+    missing: list[MissingService] = []
+    causes = {leg.service: _cause(leg) for leg in legs}
+    for service, expected in this_pass.snapshot.by_service.items():
+        answer = this_pass.answers_by_service.get(service)
+        given = answer.documents_by_shard if answer else {}
+        answered = [shard for shard in expected if shard.name in given]
+        shards += len(answered)
+        documents += sum(min(s.documents, given[s.name]) for s in answered)
+        hits += answer.hits if answer else ()
+        if len(answered) < len(expected):
+            lost = [shard for shard in expected if shard.name not in given]
+            count = sum(shard.documents for shard in lost)
+            missing.append(MissingService(service, causes[service], len(lost), count))
+    hits.sort(key=lambda hit: (-hit.score, hit.id))
+    coverage = Coverage(
+        shards,
+        len(this_pass.snapshot.shards),
+        documents,
+        this_pass.snapshot.documents,
+        tuple(missing),
+    )
+    return SearchResult(this_pass.snapshot.version, coverage, tuple(hits))
+
+
+def _cause(leg: Leg) -> Cause:
+    if leg.verdict is None or isinstance(leg.verdict, Ran):
+        return Cause.PROTOCOL
+    return leg.verdict.cause
--- /dev/null
+++ b/packages/core/crocusbay/coordination/server.py
@@ -0,0 +1,103 @@
+"""Server: one upstream as this host sees it, by its own observations alone."""
+
+import random
+from collections.abc import Callable
+
+from crocusbay.coordination.context import Context
+from crocusbay.coordination.latency import LatencyEstimate
+from crocusbay.protocol.upstream import SubRequest
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Service, Upstream, Verdict
+from crocusbay.transport import Exchange, UpstreamPool
+
+BACKOFF_FIRST_SECONDS = 0.1
+BACKOFF_MAX_SECONDS = 5.0
+LEAVING_SECONDS = 30.0
+SHED_SECONDS = 0.02
+
+_FAILURES = frozenset(
+    {Cause.CONNECT_FAILED, Cause.RESET, Cause.SILENT, Cause.CROSSED, Cause.PROTOCOL}
+)
+
+OnVerdict = Callable[["Server", Exchange, Verdict], None]
+
+
+class Server:
+    """Send sub-requests to one upstream and judge its health from the verdicts."""
+
+    def __init__(
+        self, upstream: Upstream, service: Service, share: int, context: Context
+    ) -> None:
+        self.upstream = upstream
+        self.service = service
+        self.in_flight = 0
+        self.latency = LatencyEstimate()
+        self.pool = UpstreamPool(
+            upstream, context.place, share, context.timers, context.clock
+        )
+        self._now = context.timers.now
+        self._failures = 0
+        self._down_until = 0.0
+        self._leaving_until = 0.0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the server takes no new work."""
+        return self.upstream.is_leaving or self._now() < self._leaving_until
+
+    @property
+    def is_up(self) -> bool:
+        """Return whether the server is not backed off."""
+        return self._now() >= self._down_until
+
+    @property
+    def score(self) -> float:
+        """Return the expected time of one more request (seconds), lower is better."""
+        queue = 1.0 + self.in_flight / self.service.slots
+        return self.latency.mean * queue * random.uniform(0.9, 1.1)
+
+    def send(self, sub: SubRequest, on_verdict: OnVerdict) -> Exchange:
+        """Send a sub-request; the verdict arrives once, by the callback."""
+        exchange = Exchange(sub, lambda done, v: self._finish(done, v, on_verdict))
+        self.in_flight += 1
+        self.pool.submit(exchange)
+        return exchange
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Stop waiting for an exchange."""
+        if exchange.is_done:
+            return
+        exchange.abandon()
+        self.in_flight -= 1
+
+    def mark_leaving(self) -> None:
+        """Give the server no new work for a while."""
+        self._leaving_until = self._now() + LEAVING_SECONDS
+
+    def _finish(
+        self, exchange: Exchange, verdict: Verdict, on_verdict: OnVerdict
+    ) -> None:
+        self.in_flight -= 1
+        self._learn(exchange, verdict)
+        on_verdict(self, exchange, verdict)
+
+    def _learn(self, exchange: Exchange, verdict: Verdict) -> None:
+        match verdict:
+            case Ran(answer):
+                self._failures = 0
+                self._down_until = 0.0
+                self.latency.add(self._now() - exchange.sent_at)
+                if answer.is_leaving:
+                    self.mark_leaving()
+            case NotRun(Cause.DRAINING):
+                self.mark_leaving()
+            case NotRun(Cause.SHED, retry_after):
+                wait = max(SHED_SECONDS, retry_after)
+                self._down_until = self._now() + wait * random.uniform(0.8, 1.2)
+            case NotRun(cause) | MayHaveRun(cause) if cause in _FAILURES:
+                self._back_off()
+
+    def _back_off(self) -> None:
+        self._failures += 1
+        wait = BACKOFF_FIRST_SECONDS * 2 ** min(self._failures - 1, 10)
+        wait = min(BACKOFF_MAX_SECONDS, wait) * random.uniform(0.8, 1.2)
+        self._down_until = self._now() + wait
--- /dev/null
+++ b/packages/core/crocusbay/protocol/caller.py
@@ -0,0 +1,86 @@
+"""Messages between callers and hosts."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from crocusbay.protocol.upstream import Hit
+from crocusbay.state import Cause, Coverage, Member
+
+MIN_DEADLINE_MS = 1
+MAX_DEADLINE_MS = 60_000
+MAX_QUERY_CHARS = 1_000
+MAX_BODY_BYTES = 65_536
+MAX_ID_CHARS = 128
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAnswer:
+    """List the addresses a caller may use, in order, and for how long."""
+
+    addresses: tuple[str, ...]
+    lifetime_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SearchReply:
+    """Answer a search from one snapshot."""
+
+    request: str
+    deployment: str
+    snapshot: int
+    coverage: Coverage
+    coverage_ratio: float
+    is_complete: bool
+    deadline_ms: int
+    elapsed_ms: float
+    hits: tuple[Hit, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictReply:
+    """Answer a request that did not run, or whose fate is unknown."""
+
+    request: str
+    verdict: str
+    cause: Cause
+    retry_after_ms: int
+    detail: str = ""
+    coverage: Coverage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RanReply:
+    """Answer a document request or an order that ran."""
+
+    request: str
+    verdict: str
+    answer: msgspec.Raw
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """Name the value of a request that is not valid."""
+
+    error: str
+    field: str
+    value: str
+    expected: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostStatus:
+    """Show one host: revision in force, load, members and upstreams it sees."""
+
+    name: str
+    place: str
+    caller_address: str
+    incarnation: int
+    is_leaving: bool
+    revision: int
+    running: int
+    limit: int
+    config_versions: dict[str, int]
+    members: tuple[Member, ...] = ()
+    is_platform_up: bool = True
+    cpu_seconds: float = 0.0
--- /dev/null
+++ b/packages/core/crocusbay/protocol/platform.py
@@ -0,0 +1,71 @@
+"""Messages of the platform's object API."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """Hold one object: the version is the store's revision of its last write."""
+
+    key: str
+    version: int
+    value: msgspec.Raw
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectList:
+    """List objects changed after a revision, and the revision they reach."""
+
+    revision: int
+    objects: tuple[StoredObject, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """Describe one host as the platform's lagging list shows it."""
+
+    name: str
+    place: str
+    caller_address: str
+    peer_address: str
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """List the hosts that the platform knows."""
+
+    hosts: tuple[ListedHost, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """Confirm a write with the object's new version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflicted:
+    """Refuse a write whose expected version is not the stored one."""
+
+    current: StoredObject | None
+
+
+@dataclass(frozen=True, slots=True)
+class WriteUnknown:
+    """Report a write that may or may not have taken effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRefused:
+    """Report a write that did not take effect."""
+
+    reason: str
+
+
+WriteResult = Written | Conflicted | WriteUnknown | WriteRefused
--- /dev/null
+++ b/packages/core/crocusbay/protocol/upstream.py
@@ -0,0 +1,119 @@
+"""Messages between hosts and upstream servers, over HTTP/1.1."""
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+REQUEST_HEADER = "crocusbay-request"
+SNAPSHOT_HEADER = "crocusbay-snapshot"
+DEADLINE_HEADER = "crocusbay-deadline-ms"
+PLACE_HEADER = "crocusbay-place"
+CLOCK_HEADER = "crocusbay-clock"
+LEAVING_HEADER = "crocusbay-leaving"
+
+SILENT_GRACE_SECONDS = 0.25
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_WRONG_SNAPSHOT = 409
+STATUS_CANCELLED = 499
+STATUS_REFUSED = 503
+STATUS_DEADLINE = 504
+
+
+@dataclass(frozen=True, slots=True)
+class Hit:
+    """Hold one document found."""
+
+    id: str
+    score: float
+    text: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class SearchAnswer:
+    """Hold what one server found in its shards at one snapshot."""
+
+    snapshot: int
+    documents_by_shard: dict[str, int]
+    hits: tuple[Hit, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSnapshots:
+    """Tell which snapshots a server holds."""
+
+    held: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Tell why a server did not run a request (milliseconds)."""
+
+    reason: str
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequest:
+    """Hold one request to one server.
+
+    The deadline is on the monotonic clock; a connection whose response is later
+    than that by `patience` seconds is closed as silent.
+    """
+
+    request: str
+    method: str
+    target: str
+    deadline: float
+    body: bytes = b""
+    snapshot: int = 0
+    is_idempotent: bool = True
+    patience: float = SILENT_GRACE_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class SubResponse:
+    """Hold one server's response."""
+
+    status: int
+    body: bytes
+    is_leaving: bool = False
+
+
+def search_target(query: str, shards: tuple[str, ...]) -> str:
+    """Return the target that searches the shards."""
+    return f"/search?q={quote(query)}&shards={quote(','.join(shards))}"
+
+
+def document_target(document: str) -> str:
+    """Return the target of one document."""
+    return f"/documents/{quote(document, safe='')}"
+
+
+def order_target(order: str) -> str:
+    """Return the target of one order."""
+    return f"/orders/{quote(order, safe='')}"
+
+
+def cancel_target(request: str) -> str:
+    """Return the target that cancels a request."""
+    return f"/cancel/{quote(request, safe='')}"
+
+
+def encode_request(
+    sub: SubRequest, *, host: str, place: str, stamp: str, remaining_ms: int
+) -> bytes:
+    """Return the bytes of the request as HTTP/1.1."""
+    head = (
+        f"{sub.method} {sub.target} HTTP/1.1\r\n"
+        f"host: {host}\r\n"
+        f"{REQUEST_HEADER}: {sub.request}\r\n"
+        f"{DEADLINE_HEADER}: {remaining_ms}\r\n"
+        f"{PLACE_HEADER}: {place}\r\n"
+        f"{CLOCK_HEADER}: {stamp}\r\n"
+    )
+    if sub.snapshot:
+        head += f"{SNAPSHOT_HEADER}: {sub.snapshot}\r\n"
+    if sub.body:
+        head += f"content-type: application/json\r\ncontent-length: {len(sub.body)}\r\n"
+    return f"{head}\r\n".encode() + sub.body
--- /dev/null
+++ b/packages/core/crocusbay/state/coverage.py
@@ -0,0 +1,38 @@
+"""Coverage: how much of the index at one snapshot an answer holds."""
+
+from dataclasses import dataclass
+
+from crocusbay.state.verdict import Cause
+
+
+@dataclass(frozen=True, slots=True)
+class MissingService:
+    """Name a service that is absent from an answer, and why."""
+
+    service: str
+    cause: Cause
+    shards: int
+    documents: int
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """Count shards and documents answered, of those that exist at the snapshot."""
+
+    shards_answered: int
+    shards_total: int
+    documents_answered: int
+    documents_total: int
+    missing: tuple[MissingService, ...] = ()
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every shard answered."""
+        return self.shards_answered == self.shards_total
+
+    @property
+    def ratio(self) -> float:
+        """Return the share of documents answered, from 0 to 1."""
+        if self.documents_total == 0:
+            return 1.0 if self.is_complete else 0.0
+        return self.documents_answered / self.documents_total
--- /dev/null
+++ b/packages/core/crocusbay/state/deployment.py
@@ -0,0 +1,64 @@
+"""Deployments: the configuration in force, as generated from a questionnaire."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from functools import cached_property
+
+
+class ServiceKind(StrEnum):
+    """Name how a service is reached."""
+
+    SEARCH = "search"
+    DOCUMENT = "document"
+    ORDER = "order"
+
+
+@dataclass(frozen=True)
+class Service:
+    """Describe one service and the limits of its servers (seconds)."""
+
+    name: str
+    kind: ServiceKind
+    servers: int
+    slots: int
+    connections: int
+    connect_cost: float
+
+
+@dataclass(frozen=True)
+class Policy:
+    """Set how requests of a deployment trade latency, coverage and load (seconds)."""
+
+    deadline: float
+    hedge_ratio: float
+    hedge_floor: float
+    retry_ratio: float
+    concurrent_requests: int
+
+
+@dataclass(frozen=True)
+class Change:
+    """Record one accepted change of a configuration."""
+
+    change_id: str
+    author: str
+    time: str
+    note: str
+    summary: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Hold the configuration of one search deployment."""
+
+    name: str
+    places: tuple[str, ...]
+    policy: Policy
+    services: tuple[Service, ...]
+    questionnaire: str = ""
+    history: tuple[Change, ...] = ()
+
+    @cached_property
+    def by_service(self) -> dict[str, Service]:
+        """Return the services by name."""
+        return {service.name: service for service in self.services}
--- /dev/null
+++ b/packages/core/crocusbay/state/inifile.py
@@ -0,0 +1,140 @@
+"""INI files checked against a table of fields, with every fault reported at once."""
+
+from collections.abc import Callable, Mapping
+from configparser import ConfigParser
+from configparser import Error as ParserError
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from crocusbay.state.upstream import split_address
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Describe one fault of a file."""
+
+    section: str
+    key: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"[{self.section}] {self.key} = {self.value!r}: expected {self.expected}"
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """Describe one key: how it is read, what is expected, what stands if absent."""
+
+    read: Callable[[str], Any]
+    expected: str
+    default: Any = None
+    is_required: bool = True
+
+
+def read_text(text: str) -> str:
+    """Return a text that is not empty."""
+    if not text:
+        raise ValueError(text)
+    return text
+
+
+def read_name(text: str) -> str:
+    """Return a name of letters, digits, dots, dashes and underscores."""
+    if not text or not all(c.isalnum() or c in "._-" for c in text):
+        raise ValueError(text)
+    return text
+
+
+def read_names(text: str) -> tuple[str, ...]:
+    """Return distinct names parted by commas."""
+    names = tuple(read_name(part.strip()) for part in text.split(","))
+    if len(set(names)) < len(names):
+        raise ValueError(text)
+    return names
+
+
+def read_address(text: str) -> str:
+    """Return an address of the form ip:port."""
+    split_address(text)
+    return text
+
+
+def read_addresses(text: str) -> tuple[str, ...]:
+    """Return addresses parted by commas."""
+    return tuple(read_address(part.strip()) for part in text.split(",") if part.strip())
+
+
+def read_number(low: float, high: float) -> Callable[[str], float]:
+    """Return a reader of numbers within the bounds."""
+
+    def read(text: str) -> float:
+        number = float(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return read
+
+
+def read_count(low: int, high: int) -> Callable[[str], int]:
+    """Return a reader of whole numbers within the bounds."""
+
+    def read(text: str) -> int:
+        number = int(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return read
+
+
+def read_choice(*choices: str) -> Callable[[str], str]:
+    """Return a reader of one of the choices."""
+
+    def read(text: str) -> str:
+        if text not in choices:
+            raise ValueError(text)
+        return text
+
+    return read
+
+
+Table = Mapping[str, Field]
+Values = dict[str, Any]
+
+
+def parse_ini(text: str) -> Result[ConfigParser, tuple[Fault, ...]]:
+    """Parse a text; report where it is not INI."""
+    parser = ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
+    try:
+        parser.read_string(text)
+    except ParserError as error:
+        return Error((Fault("file", "", str(error).splitlines()[0], "an INI file"),))
+    return Ok(parser)
+
+
+def check_section(
+    parser: ConfigParser, section: str, table: Table
+) -> tuple[Values, list[Fault]]:
+    """Return the values of a section by key, and its faults."""
+    given = dict(parser[section]) if parser.has_section(section) else {}
+    faults = [
+        Fault(section, key, value, f"one of the keys {', '.join(table)}")
+        for key, value in given.items()
+        if key not in table
+    ]
+    values: Values = {}
+    for key, field in table.items():
+        if key not in given:
+            values[key] = field.default
+            if field.is_required:
+                faults.append(Fault(section, key, "", field.expected))
+            continue
+        try:
+            values[key] = field.read(given[key])
+        except ValueError:
+            faults.append(Fault(section, key, given[key], field.expected))
+    return values, faults
--- /dev/null
+++ b/packages/core/crocusbay/state/member.py
@@ -0,0 +1,35 @@
+"""Members: the hosts of the system as they describe themselves."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Count the requests that a host runs, and its limit."""
+
+    running: int = 0
+    limit: int = 1
+
+    @property
+    def headroom(self) -> float:
+        """Return the free share of the limit, from 0 to 1."""
+        return max(0.0, 1.0 - self.running / max(1, self.limit))
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe one host: later incarnations, then later beats, replace earlier."""
+
+    name: str
+    place: str
+    caller_address: str
+    peer_address: str
+    incarnation: int
+    beat: int = 0
+    is_leaving: bool = False
+    revision: int = 0
+    load: Load = Load()
+
+    def is_newer_than(self, other: "Member") -> bool:
+        """Return whether this description replaces the other one."""
+        return (self.incarnation, self.beat) > (other.incarnation, other.beat)
--- /dev/null
+++ b/packages/core/crocusbay/state/order.py
@@ -0,0 +1,26 @@
+"""Records of orders: the proof that a non-idempotent request ran at most once."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class OrderState(StrEnum):
+    """Name how far an order came."""
+
+    STARTED = "started"
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class OrderRecord:
+    """Record one order; only the attempt that wrote STARTED may send it upstream."""
+
+    order: str
+    digest: str
+    host: str
+    attempt: str
+    state: OrderState
+    time: str
+    answer: str = ""
--- /dev/null
+++ b/packages/core/crocusbay/state/questionnaire.py
@@ -0,0 +1,188 @@
+"""Questionnaires: what a team fills in, and the configuration generated from it."""
+
+from configparser import ConfigParser
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from crocusbay.state.deployment import Deployment, Policy, Service, ServiceKind
+from crocusbay.state.inifile import (
+    Fault,
+    Field,
+    Values,
+    check_section,
+    parse_ini,
+    read_choice,
+    read_count,
+    read_name,
+    read_names,
+    read_number,
+)
+
+SERVICE_PREFIX = "service "
+LATENCY_HEDGE_FLOOR_SECONDS = 0.005
+COVERAGE_HEDGE_FLOOR_SECONDS = 0.010
+COVERAGE_RETRY_FACTOR = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class LatencyFirst:
+    """Weigh tail latency most: hedge early."""
+
+
+@dataclass(frozen=True, slots=True)
+class CoverageFirst:
+    """Weigh coverage most: retry more."""
+
+
+Weighing = LatencyFirst | CoverageFirst
+_WEIGHINGS: dict[str, Weighing] = {
+    "latency": LatencyFirst(),
+    "coverage": CoverageFirst(),
+}
+
+_DEPLOYMENT = {
+    "name": Field(read_name, "a name such as destovka"),
+    "weigh_most": Field(read_choice(*_WEIGHINGS), "latency or coverage"),
+    "answer_within_ms": Field(read_number(1, 60_000), "milliseconds from 1 to 60000"),
+    "extra_load_percent": Field(read_number(0, 100), "a percentage from 0 to 100"),
+    "concurrent_requests": Field(
+        read_count(1, 10_000), "requests that one host may run, from 1 to 10000"
+    ),
+}
+_PLACES = {"names": Field(read_names, "names of data centres, parted by commas")}
+_SERVICE = {
+    "kind": Field(read_choice(*ServiceKind), "search, document or order"),
+    "count": Field(read_count(1, 10_000), "a number of services from 1 to 10000"),
+    "servers": Field(read_count(1, 1_000), "servers of each service, from 1 to 1000"),
+    "slots": Field(read_count(1, 10_000), "requests that a server runs at once"),
+    "connections": Field(
+        read_count(1, 100_000), "connections that a server accepts, from 1 to 100000"
+    ),
+    "connect_ms": Field(
+        read_number(0, 10_000), "cost of a new connection in milliseconds"
+    ),
+}
+
+
+def parse_questionnaire(text: str) -> Result[Deployment, tuple[Fault, ...]]:
+    """Return the deployment that a questionnaire asks for, or all of its faults."""
+    parsed = parse_ini(text)
+    if parsed.is_error():
+        return Error(parsed.error)
+    parser = parsed.ok
+    faults = _unknown_sections(parser)
+    general, found = check_section(parser, "deployment", _DEPLOYMENT)
+    faults += found
+    places, found = check_section(parser, "places", _PLACES)
+    faults += found
+    services: list[Service] = []
+    for section in parser.sections():
+        if section.startswith(SERVICE_PREFIX):
+            group, found = _read_group(parser, section)
+            services += group
+            faults += found
+    if not services and not faults:
+        faults.append(Fault("service ...", "", "", "at least one service"))
+    if faults:
+        return Error(tuple(faults))
+    return Ok(
+        Deployment(
+            name=general["name"],
+            places=places["names"],
+            policy=_generate_policy(general),
+            services=tuple(services),
+            questionnaire=text,
+        )
+    )
+
+
+def _unknown_sections(parser: ConfigParser) -> list[Fault]:
+    expected = "one of the sections deployment, places, service NAME"
+    return [
+        Fault(section, "", "", expected)
+        for section in parser.sections()
+        if section not in ("deployment", "places")
+        and not section.startswith(SERVICE_PREFIX)
+    ]
+
+
+def _read_group(
+    parser: ConfigParser, section: str
+) -> tuple[list[Service], list[Fault]]:
+    values, faults = check_section(parser, section, _SERVICE)
+    name = section.removeprefix(SERVICE_PREFIX).strip()
+    try:
+        read_name(name)
+    except ValueError:
+        faults.append(Fault(section, "", name, "a name after the word service"))
+    if faults:
+        return [], faults
+    return [_make_service(each, values) for each in _numbered(name, values)], []
+
+
+def _numbered(name: str, values: Values) -> list[str]:
+    count = values["count"]
+    if count == 1:
+        return [name]
+    digits = len(str(count))
+    return [f"{name}-{number:0{digits}}" for number in range(1, count + 1)]
+
+
+def _make_service(name: str, values: Values) -> Service:
+    return Service(
+        name=name,
+        kind=ServiceKind(values["kind"]),
+        servers=values["servers"],
+        slots=values["slots"],
+        connections=values["connections"],
+        connect_cost=values["connect_ms"] / 1000,
+    )
+
+
+def _generate_policy(general: dict[str, Any]) -> Policy:
+    extra = general["extra_load_percent"] / 100
+    common = {
+        "deadline": general["answer_within_ms"] / 1000,
+        "hedge_ratio": extra,
+        "concurrent_requests": general["concurrent_requests"],
+    }
+    match _WEIGHINGS[general["weigh_most"]]:
+        case LatencyFirst():
+            return Policy(
+                hedge_floor=LATENCY_HEDGE_FLOOR_SECONDS, retry_ratio=extra, **common
+            )
+        case CoverageFirst():
+            return Policy(
+                hedge_floor=COVERAGE_HEDGE_FLOOR_SECONDS,
+                retry_ratio=COVERAGE_RETRY_FACTOR * extra,
+                **common,
+            )
+
+
+def compare_deployments(old: Deployment | None, new: Deployment) -> tuple[str, ...]:
+    """Return one line for each difference between two configurations."""
+    if old is None:
+        return (f"new deployment {new.name} with {len(new.services)} services",)
+    lines = _compare_fields("policy", old.policy, new.policy)
+    if old.places != new.places:
+        lines.append(f"places: {', '.join(old.places)} -> {', '.join(new.places)}")
+    for name in sorted(old.by_service.keys() - new.by_service.keys()):
+        lines.append(f"service {name}: removed")
+    for name in sorted(new.by_service.keys() - old.by_service.keys()):
+        lines.append(f"service {name}: added")
+    for name in sorted(old.by_service.keys() & new.by_service.keys()):
+        lines += _compare_fields(
+            f"service {name}", old.by_service[name], new.by_service[name]
+        )
+    return tuple(lines)
+
+
+def _compare_fields(label: str, old: Any, new: Any) -> list[str]:
+    names = list(old.__dataclass_fields__)
+    return [
+        f"{label}.{name}: {getattr(old, name)} -> {getattr(new, name)}"
+        for name in names
+        if getattr(old, name) != getattr(new, name)
+    ]
--- /dev/null
+++ b/packages/core/crocusbay/state/settings.py
@@ -0,0 +1,108 @@
+"""Settings of one host, read from an INI file."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from crocusbay.state.inifile import (
+    Fault,
+    Field,
+    check_section,
+    parse_ini,
+    read_address,
+    read_addresses,
+    read_choice,
+    read_name,
+    read_number,
+)
+
+ENTRY_LIFETIME_SECONDS = 5.0
+DRAIN_LIMIT_SECONDS = 30.0
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Hold the settings of a host (seconds)."""
+
+    name: str
+    place: str
+    caller_address: str
+    peer_address: str
+    platform_address: str
+    seeds: tuple[str, ...]
+    entry_lifetime: float
+    drain_limit: float
+    log_level: str
+
+
+_TABLES = {
+    "host": {
+        "name": Field(read_name, "a name such as host-1"),
+        "place": Field(read_name, "the name of this host's data centre"),
+        "log_level": Field(
+            read_choice("debug", "info", "warning", "error"),
+            "one of debug, info, warning, error",
+            default="info",
+            is_required=False,
+        ),
+    },
+    "callers": {
+        "address": Field(read_address, "ip:port to listen on, such as 10.0.0.1:8000"),
+        "entry_lifetime": Field(
+            read_number(0.1, 3600),
+            "seconds from 0.1 to 3600",
+            default=ENTRY_LIFETIME_SECONDS,
+            is_required=False,
+        ),
+        "drain_limit": Field(
+            read_number(0, 3600),
+            "seconds from 0 to 3600",
+            default=DRAIN_LIMIT_SECONDS,
+            is_required=False,
+        ),
+    },
+    "peers": {
+        "address": Field(read_address, "ip:port to listen on, such as 10.0.0.1:8001"),
+        "seeds": Field(
+            read_addresses,
+            "addresses ip:port of other hosts, parted by commas",
+            default=(),
+            is_required=False,
+        ),
+    },
+    "platform": {
+        "address": Field(read_address, "ip:port of the platform's object API"),
+    },
+}
+
+
+def parse_settings(text: str) -> Result[Settings, tuple[Fault, ...]]:
+    """Return the settings written in an INI text, or all of its faults."""
+    parsed = parse_ini(text)
+    if parsed.is_error():
+        return Error(parsed.error)
+    parser = parsed.ok
+    faults = [
+        Fault(section, "", "", f"one of the sections {', '.join(_TABLES)}")
+        for section in parser.sections()
+        if section not in _TABLES
+    ]
+    by_section = {}
+    for section, table in _TABLES.items():
+        by_section[section], found = check_section(parser, section, table)
+        faults += found
+    if faults:
+        return Error(tuple(faults))
+    return Ok(
+        Settings(
+            name=by_section["host"]["name"],
+            place=by_section["host"]["place"],
+            caller_address=by_section["callers"]["address"],
+            peer_address=by_section["peers"]["address"],
+            platform_address=by_section["platform"]["address"],
+            seeds=by_section["peers"]["seeds"],
+            entry_lifetime=by_section["callers"]["entry_lifetime"],
+            drain_limit=by_section["callers"]["drain_limit"],
+            log_level=by_section["host"]["log_level"],
+        )
+    )
--- /dev/null
+++ b/packages/core/crocusbay/state/stamp.py
@@ -0,0 +1,62 @@
+"""Hybrid logical clock: orders events of many processes by cause and effect."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Stamp:
+    """Mark one moment: wall time in microseconds, then a logical counter."""
+
+    micros: int
+    counter: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.micros}-{self.counter}"
+
+
+def parse_stamp(text: str) -> Stamp | None:
+    """Return the stamp written as ``micros-counter``, or None if it is malformed.
+
+    >>> parse_stamp("1700000000000000-3")
+    Stamp(micros=1700000000000000, counter=3)
+    >>> parse_stamp("yesterday") is None
+    True
+    """
+    micros, dash, counter = text.partition("-")
+    if not (dash and micros.isdecimal() and counter.isdecimal()):
+        return None
+    return Stamp(int(micros), int(counter))
+
+
+def _wall_micros() -> int:
+    return time.time_ns() // 1000
+
+
+MAX_DRIFT_MICROS = 60_000_000
+
+
+class HybridClock:
+    """Issue stamps that grow past every stamp issued or observed."""
+
+    def __init__(self, wall: Callable[[], int] = _wall_micros) -> None:
+        self._wall = wall
+        self._last = Stamp(0)
+
+    def now(self) -> Stamp:
+        """Return a stamp later than all earlier ones."""
+        wall = self._wall()
+        if wall > self._last.micros:
+            self._last = Stamp(wall)
+        else:
+            self._last = Stamp(self._last.micros, self._last.counter + 1)
+        return self._last
+
+    def observe(self, stamp: Stamp | None) -> None:
+        """Move past a stamp received, unless it is over a minute ahead."""
+        if stamp is None or stamp <= self._last:
+            return
+        if stamp.micros - self._wall() > MAX_DRIFT_MICROS:
+            return
+        self._last = stamp
--- /dev/null
+++ b/packages/core/crocusbay/state/verdict.py
@@ -0,0 +1,71 @@
+"""Verdicts: whether a request ran, did not run, or may have run."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+
+class Cause(StrEnum):
+    """Name why a request did not end in an answer."""
+
+    CANCELLED = "cancelled"
+    CONNECT_FAILED = "connect-failed"
+    CROSSED = "crossed"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    IN_PROGRESS = "in-progress"
+    LEAVING = "leaving"
+    NO_CONNECTION = "no-connection"
+    NO_INDEX = "no-index"
+    NO_UPSTREAM = "no-upstream"
+    OVERLOAD = "overload"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    PROTOCOL = "protocol"
+    QUARANTINED = "quarantined"
+    RESET = "reset"
+    SHED = "shed"
+    SILENT = "silent"
+    WRONG_SNAPSHOT = "wrong-snapshot"
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """Report a request that ran, with its answer."""
+
+    answer: Any
+
+    @property
+    def has_run(self) -> bool | None:
+        """Return whether the request ran."""
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Report a request that did not run and may be sent again (seconds)."""
+
+    cause: Cause
+    retry_after: float = 0.0
+    detail: str = ""
+
+    @property
+    def has_run(self) -> bool | None:
+        """Return whether the request ran."""
+        return False
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """Report a request whose fate is unknown (seconds)."""
+
+    cause: Cause
+    retry_after: float = 0.0
+    detail: str = ""
+
+    @property
+    def has_run(self) -> bool | None:
+        """Return None: nobody knows whether the request ran."""
+        return None
+
+
+Verdict = Ran | NotRun | MayHaveRun
--- /dev/null
+++ b/packages/core/crocusbay/transport/connection.py
@@ -0,0 +1,182 @@
+"""One connection to an upstream server, run by one task that reads responses."""
+
+from collections.abc import Callable
+
+import anyio
+import httptools
+
+from crocusbay.protocol.codec import from_json
+from crocusbay.protocol.upstream import (
+    CLOCK_HEADER,
+    LEAVING_HEADER,
+    REQUEST_HEADER,
+    STATUS_CANCELLED,
+    STATUS_DEADLINE,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    STATUS_REFUSED,
+    STATUS_WRONG_SNAPSHOT,
+    Refusal,
+    SubResponse,
+)
+from crocusbay.state import (
+    Cause,
+    HybridClock,
+    MayHaveRun,
+    NotRun,
+    Ran,
+    Verdict,
+    parse_stamp,
+    split_address,
+)
+from crocusbay.transport.exchange import Exchange
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+SEND_TIMEOUT_SECONDS = 1.0
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+
+_REQUEST_HEADER = REQUEST_HEADER.encode()
+_CLOCK_HEADER = CLOCK_HEADER.encode()
+_LEAVING_HEADER = LEAVING_HEADER.encode()
+_RAN_STATUSES = frozenset({STATUS_OK, STATUS_NOT_FOUND, STATUS_WRONG_SNAPSHOT})
+
+
+class ProtocolError(Exception):
+    """Report a response that breaks the protocol."""
+
+
+class CrossedError(ProtocolError):
+    """Report a response that belongs to another request."""
+
+
+class UpstreamConnection:
+    """Hold one connection; at most one exchange is under way on it."""
+
+    def __init__(
+        self,
+        address: str,
+        clock: HybridClock,
+        on_idle: Callable[["UpstreamConnection"], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.address = address
+        self.current: Exchange | None = None
+        self.last_heard = 0.0
+        self.answers = 0
+        self.is_closing = False
+        self.close_cause = Cause.RESET
+        self._clock = clock
+        self._on_idle = on_idle
+        self._now = now
+        self._stream: anyio.abc.SocketStream | None = None
+        self._scope = anyio.CancelScope()
+        self.on_message_begin()
+
+    async def run(self) -> Cause | None:
+        """Connect and read until the connection ends; return why connecting failed."""
+        ip, port = split_address(self.address)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                self._stream = await anyio.connect_tcp(ip, port)
+        except (OSError, TimeoutError):
+            return Cause.CONNECT_FAILED
+        with self._scope:
+            self._on_idle(self)
+            await self._read_responses()
+        self.is_closing = True
+        if self.current:
+            self.current.fail(self.close_cause)
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+        return None
+
+    def close(self, cause: Cause) -> None:
+        """End the connection; the exchange under way fails with the cause."""
+        self.is_closing = True
+        self.close_cause = cause
+        self._scope.cancel()
+
+    async def send(self, exchange: Exchange, data: bytes) -> None:
+        """Write one request; a failed write closes the connection."""
+        exchange.is_sent = True
+        exchange.sent_at = self._now()
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_SECONDS):
+                await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.close(Cause.RESET)
+        except TimeoutError:
+            self.close(Cause.SILENT)
+
+    async def _read_responses(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        try:
+            while True:
+                self._parser.feed_data(await self._stream.receive())
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.close_cause = Cause.RESET
+        except anyio.ClosedResourceError:
+            pass
+        except (httptools.HttpParserError, ProtocolError) as error:
+            is_crossed = isinstance(error.__context__ or error, CrossedError)
+            self.close_cause = Cause.CROSSED if is_crossed else Cause.PROTOCOL
+
+    def on_message_begin(self) -> None:
+        """Start a response (called by the parser)."""
+        self._request_id = b""
+        self._is_leaving = False
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header (called by the parser)."""
+        name = name.lower()
+        if name == _REQUEST_HEADER:
+            self._request_id = value
+        elif name == _CLOCK_HEADER:
+            self._clock.observe(parse_stamp(value.decode("latin-1")))
+        elif name == _LEAVING_HEADER:
+            self._is_leaving = True
+
+    def on_status(self, status: bytes) -> None:
+        """Ignore the reason phrase (called by the parser)."""
+
+    def on_headers_complete(self) -> None:
+        """Check that the response belongs to the request under way."""
+        if self.current is None:
+            raise CrossedError("response without a request")
+        expected = self.current.sub.request.encode()
+        if self._request_id != expected:
+            raise CrossedError(f"response to {self._request_id!r}, not {expected!r}")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (called by the parser)."""
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            raise ProtocolError(f"response of over {MAX_RESPONSE_BYTES} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Deliver the verdict of the request under way."""
+        exchange = self.current
+        self.current = None
+        self.last_heard = self._now()
+        self.answers += 1
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        status = self._parser.get_status_code()
+        exchange.finish(_judge(status, body, self._is_leaving))
+        self._on_idle(self)
+
+
+def _judge(status: int, body: bytes, is_leaving: bool) -> Verdict:
+    if status in _RAN_STATUSES:
+        return Ran(SubResponse(status, body, is_leaving))
+    if status == STATUS_REFUSED:
+        refusal = from_json(body, Refusal).default_value(Refusal("unknown"))
+        cause = Cause.DRAINING if is_leaving else Cause.SHED
+        return NotRun(cause, refusal.retry_after_ms / 1000, refusal.reason)
+    if status == STATUS_DEADLINE:
+        return NotRun(Cause.DEADLINE)
+    if status == STATUS_CANCELLED:
+        return MayHaveRun(Cause.CANCELLED)
+    return MayHaveRun(Cause.PROTOCOL, detail=f"status {status}")
--- /dev/null
+++ b/packages/core/crocusbay/transport/peers.py
@@ -0,0 +1,101 @@
+"""Messages between hosts over pynng: one receiving task, one sending task a peer."""
+
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import pynng
+
+from crocusbay.protocol.codec import from_pack, to_pack
+from crocusbay.protocol.peer import MAX_PEER_MESSAGE_BYTES, PeerMessage
+
+MAX_QUEUED_MESSAGES = 64
+SEND_TIMEOUT_MS = 1_000
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1_000
+
+
+class PeerListener:
+    """Receive messages of all peers on one socket."""
+
+    def __init__(
+        self,
+        address: str,
+        on_message: Callable[[PeerMessage], None],
+        on_malformed: Callable[[str], None],
+    ) -> None:
+        self._on_message = on_message
+        self._on_malformed = on_malformed
+        self._socket = pynng.Pull0(recv_max_size=MAX_PEER_MESSAGE_BYTES)
+        listener = self._socket.listen(f"tcp://{address}")
+        self.address = str(listener.local_address)
+
+    async def run(self) -> None:
+        """Receive until the socket is closed.
+
+        pynng turns a cancelled scope into a stray error, so the wait is shielded
+        and only `close` ends it.
+        """
+        with anyio.CancelScope(shield=True):
+            while True:
+                try:
+                    data = await self._socket.arecv()
+                except pynng.Closed:
+                    return
+                self._take(data)
+
+    def close(self) -> None:
+        """Close the socket, which ends `run`."""
+        self._socket.close()
+
+    def _take(self, data: bytes) -> None:
+        decoded = from_pack(data, PeerMessage)
+        if decoded.is_error():
+            self._on_malformed(decoded.error)
+        else:
+            self._on_message(decoded.ok)
+
+
+class PeerSender:
+    """Send messages to one peer; the oldest is dropped when the queue is full."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.is_closed = False
+        self._queue: deque[bytes] = deque(maxlen=MAX_QUEUED_MESSAGES)
+        self._wake = anyio.Event()
+        self._socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self._socket.dial(f"tcp://{address}", block=False)
+
+    def send(self, message: PeerMessage) -> None:
+        """Queue a message; never wait."""
+        self._queue.append(to_pack(message))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send until closed."""
+        while not self.is_closed:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            with anyio.CancelScope(shield=True):
+                await self._send_queued()
+
+    def close(self) -> None:
+        """Close the socket, which ends `run`."""
+        self.is_closed = True
+        self._wake.set()
+        self._socket.close()
+
+    async def _send_queued(self) -> None:
+        while self._queue and not self.is_closed:
+            data = self._queue.popleft()
+            try:
+                await self._socket.asend(data)
+            except pynng.Timeout:
+                continue
+            except (pynng.Closed, pynng.ConnectionRefused):
+                return
--- /dev/null
+++ b/packages/core/crocusbay/transport/platform.py
@@ -0,0 +1,127 @@
+"""Client of the platform's object API."""
+
+import httpx
+from expression import Error, Ok, Result
+
+from crocusbay.protocol.codec import from_json
+from crocusbay.protocol.platform import (
+    Conflicted,
+    HostList,
+    ObjectList,
+    StoredObject,
+    WriteRefused,
+    WriteResult,
+    WriteUnknown,
+    Written,
+)
+from crocusbay.protocol.upstream import CLOCK_HEADER
+from crocusbay.state import HybridClock, parse_stamp
+
+CALL_TIMEOUT_SECONDS = 2.0
+WATCH_WAIT_SECONDS = 20.0
+MAX_OBJECT_BYTES = 1_000_000
+VERSION_HEADER = "crocusbay-if-version"
+
+
+class PlatformClient:
+    """Call the platform; every failure is a value that says what may have happened."""
+
+    def __init__(self, address: str, clock: HybridClock) -> None:
+        self._clock = clock
+        self._http = httpx.AsyncClient(
+            base_url=f"http://{address}", timeout=CALL_TIMEOUT_SECONDS, trust_env=False
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.aclose()
+
+    async def read(self, key: str) -> Result[StoredObject | None, str]:
+        """Return the object, None if there is none, or why it can't be read."""
+        answer = await self._get(f"/objects/{key}")
+        if answer.is_error():
+            return Error(answer.error)
+        if answer.ok.status_code == httpx.codes.NOT_FOUND:
+            return Ok(None)
+        return _decode(answer.ok, StoredObject)
+
+    async def list_after(
+        self, prefixes: tuple[str, ...], after: int
+    ) -> Result[ObjectList, str]:
+        """Return the objects with the prefixes changed after a revision."""
+        answer = await self._get("/objects", prefix=prefixes, after=after)
+        return answer.bind(lambda response: _decode(response, ObjectList))
+
+    async def watch(
+        self, prefixes: tuple[str, ...], after: int
+    ) -> Result[ObjectList, str]:
+        """Wait for changes after a revision; return them, or none after a while."""
+        answer = await self._get(
+            "/watch",
+            timeout=WATCH_WAIT_SECONDS + CALL_TIMEOUT_SECONDS,
+            prefix=prefixes,
+            after=after,
+            wait_ms=int(WATCH_WAIT_SECONDS * 1000),
+        )
+        return answer.bind(lambda response: _decode(response, ObjectList))
+
+    async def hosts(self) -> Result[HostList, str]:
+        """Return the platform's lagging list of hosts."""
+        answer = await self._get("/hosts")
+        return answer.bind(lambda response: _decode(response, HostList))
+
+    async def write(self, key: str, value: bytes, if_version: int) -> WriteResult:
+        """Write an object if its version is the one given; 0 stands for absent."""
+        if len(value) > MAX_OBJECT_BYTES:
+            return WriteRefused(f"{key} has {len(value)} bytes of {MAX_OBJECT_BYTES}")
+        headers = {
+            VERSION_HEADER: str(if_version),
+            CLOCK_HEADER: str(self._clock.now()),
+        }
+        try:
+            response = await self._http.put(
+                f"/objects/{key}", content=value, headers=headers
+            )
+        except httpx.ConnectError as error:
+            return WriteRefused(f"the platform can't be reached: {error}")
+        except httpx.ConnectTimeout:
+            return WriteRefused("the platform can't be reached in time")
+        except httpx.HTTPError as error:
+            return WriteUnknown(f"no answer to the write: {type(error).__name__}")
+        self._observe(response)
+        return _judge_write(response)
+
+    async def _get(
+        self, path: str, timeout: float = CALL_TIMEOUT_SECONDS, **query
+    ) -> Result[httpx.Response, str]:
+        headers = {CLOCK_HEADER: str(self._clock.now())}
+        try:
+            response = await self._http.get(
+                path, params=query, headers=headers, timeout=timeout
+            )
+        except httpx.HTTPError as error:
+            return Error(f"{path}: {type(error).__name__}")
+        self._observe(response)
+        if response.status_code in (httpx.codes.OK, httpx.codes.NOT_FOUND):
+            return Ok(response)
+        return Error(f"{path}: status {response.status_code}")
+
+    def _observe(self, response: httpx.Response) -> None:
+        self._clock.observe(parse_stamp(response.headers.get(CLOCK_HEADER, "")))
+
+
+def _decode(response: httpx.Response, kind: type) -> Result:
+    return from_json(response.content, kind)
+
+
+def _judge_write(response: httpx.Response) -> WriteResult:
+    match response.status_code:
+        case httpx.codes.OK:
+            decoded = from_json(response.content, Written)
+        case httpx.codes.CONFLICT:
+            decoded = from_json(response.content, Conflicted)
+        case httpx.codes.TOO_MANY_REQUESTS | httpx.codes.SERVICE_UNAVAILABLE:
+            return WriteRefused(f"the platform answered {response.status_code}")
+        case _:
+            return WriteUnknown(f"the platform answered {response.status_code}")
+    return decoded.default_with(lambda _: WriteUnknown("malformed answer to the write"))
--- /dev/null
+++ b/packages/core/crocusbay/transport/pool.py
@@ -0,0 +1,203 @@
+"""Connections to one upstream server: a share of its limit, reused and proved."""
+
+import math
+from collections import deque
+
+import anyio
+
+from crocusbay.protocol.upstream import SubRequest, encode_request
+from crocusbay.state import Cause, HybridClock, NotRun, Ran, Upstream, Verdict
+from crocusbay.transport.connection import UpstreamConnection
+from crocusbay.transport.exchange import Exchange
+from crocusbay.transport.timers import TimerService
+
+MAX_WAITING = 32
+PROOF_SECONDS = 1.0
+PING_DEADLINE_SECONDS = 0.15
+PING_TARGET = "/health"
+
+
+class UpstreamPool:
+    """Hand exchanges to connections; one task writes, one a connection reads."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        place: str,
+        share: int,
+        timers: TimerService,
+        clock: HybridClock,
+    ) -> None:
+        self.upstream = upstream
+        self.share = share
+        self.pings = 0
+        self.closed_by_cause: dict[Cause, int] = {}
+        self._place = place
+        self._timers = timers
+        self._clock = clock
+        self._waiting: deque[Exchange] = deque()
+        self._writes: deque[tuple[UpstreamConnection, Exchange]] = deque()
+        self._idle: list[UpstreamConnection] = []
+        self._connections: set[UpstreamConnection] = set()
+        self._connecting = 0
+        self._is_closed = False
+        self._wake = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections open or being opened."""
+        return len(self._connections)
+
+    @property
+    def has_idle(self) -> bool:
+        """Return whether a connection is free."""
+        return bool(self._idle)
+
+    async def run(self) -> None:
+        """Write requests until closed; open one connection ahead of the first."""
+        async with anyio.create_task_group() as self._tasks:
+            self._open_connection()
+            self._pump()
+            while not (self._is_closed and not self._connections):
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                while self._writes:
+                    connection, exchange = self._writes.popleft()
+                    await self._write(connection, exchange)
+
+    def submit(self, exchange: Exchange) -> None:
+        """Queue an exchange; a full queue refuses it at once."""
+        if self._is_closed:
+            exchange.fail(Cause.LEAVING)
+            return
+        if len(self._waiting) >= MAX_WAITING:
+            exchange.fail(Cause.NO_CONNECTION)
+            return
+        self._waiting.append(exchange)
+        self._pump()
+
+    def set_share(self, share: int) -> None:
+        """Change how many connections may be open; close idle ones beyond it."""
+        self.share = share
+        while self._idle and len(self._connections) > share:
+            connection = self._idle.pop()
+            self._connections.discard(connection)
+            connection.close(Cause.CANCELLED)
+
+    def sweep(self) -> None:
+        """Close connections whose request is overdue."""
+        now = self._timers.now()
+        for connection in list(self._connections):
+            exchange = connection.current
+            if exchange is None or not exchange.is_sent:
+                continue
+            if now > exchange.sub.deadline + exchange.sub.patience:
+                connection.close(Cause.SILENT)
+
+    def close(self) -> None:
+        """Refuse what waits and let the requests under way end."""
+        self._is_closed = True
+        self._wake.set()
+        self._fail_waiting(Cause.LEAVING)
+        for connection in list(self._connections):
+            if connection.current is None:
+                connection.close(Cause.CANCELLED)
+
+    def _pump(self) -> None:
+        while self._waiting and self._idle:
+            exchange = self._waiting.popleft()
+            if not exchange.is_done:
+                self._assign(self._idle.pop(), exchange)
+        if self._tasks is None or self._is_closed:
+            return
+        while (
+            self._connecting < len(self._waiting)
+            and len(self._connections) < self.share
+        ):
+            self._open_connection()
+
+    def _assign(self, connection: UpstreamConnection, exchange: Exchange) -> None:
+        is_proved = self._timers.now() - connection.last_heard < PROOF_SECONDS
+        if not exchange.sub.is_idempotent and not is_proved:
+            exchange = self._ping_before(exchange)
+        connection.current = exchange
+        self._writes.append((connection, exchange))
+        self._wake.set()
+
+    def _ping_before(self, held: Exchange) -> Exchange:
+        """Return a ping that proves a connection before a non-idempotent request."""
+
+        def pinged(_: Exchange, verdict: Verdict) -> None:
+            if not held.is_done:
+                self._waiting.appendleft(held)
+            if not isinstance(verdict, Ran):
+                self._pump()
+
+        self.pings += 1
+        deadline = self._timers.now() + PING_DEADLINE_SECONDS
+        ping = SubRequest(f"{held.sub.request}.ping", "GET", PING_TARGET, deadline)
+        return Exchange(ping, pinged)
+
+    async def _write(self, connection: UpstreamConnection, exchange: Exchange) -> None:
+        if connection.is_closing:
+            connection.current = None
+            self._waiting.appendleft(exchange)
+            self._pump()
+            return
+        if exchange.is_done:
+            connection.current = None
+            self._on_idle(connection)
+            return
+        remaining = exchange.sub.deadline - self._timers.now()
+        if remaining <= 0:
+            connection.current = None
+            exchange.fail(Cause.DEADLINE)
+            self._on_idle(connection)
+            return
+        data = encode_request(
+            exchange.sub,
+            host=self.upstream.address,
+            place=self._place,
+            stamp=str(self._clock.now()),
+            remaining_ms=math.ceil(remaining * 1000),
+        )
+        await connection.send(exchange, data)
+
+    def _open_connection(self) -> None:
+        connection = UpstreamConnection(
+            self.upstream.address, self._clock, self._on_idle, self._timers.now
+        )
+        self._connections.add(connection)
+        self._connecting += 1
+        self._tasks.start_soon(self._run_connection, connection)
+
+    async def _run_connection(self, connection: UpstreamConnection) -> None:
+        failure = await connection.run()
+        self._connections.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if failure:
+            self._connecting -= 1
+            if not self._connections:
+                self._fail_waiting(failure)
+        cause = failure or connection.close_cause
+        self.closed_by_cause[cause] = self.closed_by_cause.get(cause, 0) + 1
+        self._wake.set()
+        self._pump()
+
+    def _on_idle(self, connection: UpstreamConnection) -> None:
+        if connection.answers == 0:
+            self._connecting -= 1
+        if connection.is_closing:
+            return
+        if self._is_closed or len(self._connections) > self.share:
+            connection.close(Cause.CANCELLED)
+            return
+        self._idle.append(connection)
+        self._pump()
+
+    def _fail_waiting(self, cause: Cause) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for exchange in waiting:
+            exchange.finish(NotRun(cause))
--- /dev/null
+++ b/packages/core/crocusbay/transport/server.py
@@ -0,0 +1,42 @@
+"""HTTP server towards callers: hypercorn on a socket that the process opened."""
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import hypercorn.asyncio
+from hypercorn.config import Config
+
+from crocusbay.state import split_address
+
+BACKLOG = 1024
+KEEP_ALIVE_SECONDS = 60.0
+MAX_HEADER_BYTES = 16_384
+
+
+def open_listener(address: str) -> tuple[socket.socket, str]:
+    """Return a listening socket and its address; port 0 lets the OS choose."""
+    ip, port = split_address(address)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, port))
+    listener.listen(BACKLOG)
+    bound_ip, bound_port = listener.getsockname()
+    return listener, f"{bound_ip}:{bound_port}"
+
+
+async def serve(
+    app: Callable,
+    listener: socket.socket,
+    shutdown: Callable[[], Awaitable[None]],
+    drain_limit: float,
+) -> None:
+    """Serve an ASGI app until `shutdown` returns; then let requests end (seconds)."""
+    config = Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.graceful_timeout = drain_limit
+    config.include_server_header = False
+    await hypercorn.asyncio.serve(app, config, shutdown_trigger=shutdown, mode="asgi")
--- /dev/null
+++ b/packages/host/crocusbay_host/__init__.py
@@ -0,0 +1,1 @@
+"""The host process: serves callers, talks to peers, upstreams and the platform."""
--- /dev/null
+++ b/packages/host/crocusbay_host/app.py
@@ -0,0 +1,359 @@
+"""ASGI application: the entry question, searches, documents, orders and operations."""
+
+import math
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import logbook
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from crocusbay.coordination import (
+    DeploymentRuntime,
+    DifferentOrderError,
+    DocumentQuery,
+    OrderRequest,
+    Search,
+    SearchQuery,
+    SearchResult,
+    fetch_document,
+)
+from crocusbay.protocol import to_json
+from crocusbay.protocol.caller import (
+    BadRequest,
+    RanReply,
+    SearchReply,
+    VerdictReply,
+)
+from crocusbay.protocol.upstream import (
+    CLOCK_HEADER,
+    REQUEST_HEADER,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+)
+from crocusbay.state import (
+    Cause,
+    EventKind,
+    MayHaveRun,
+    NotRun,
+    Ran,
+    ServiceKind,
+    Verdict,
+    parse_stamp,
+)
+from crocusbay_host.host import Host
+from crocusbay_host.request import (
+    CallerGone,
+    CallerRequest,
+    Receive,
+    RequestError,
+    bad_value,
+    check_id,
+    check_json,
+    read_body,
+    read_request,
+)
+
+STATUS_INTERNAL = 500
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+NOT_READY_RETRY_SECONDS = 0.5
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+_log = logbook.Logger("crocusbay.app")
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold a response to a caller."""
+
+    status: int
+    body: bytes
+    retry_after: float = 0.0
+    content_type: str = "application/json"
+
+
+class App:
+    """Answer the requests of callers and operators."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Serve one request (ASGI)."""
+        if scope["type"] != "http":
+            return
+        request_id = uuid.uuid4().hex
+        try:
+            reply = await self._reply(scope, receive, request_id)
+        except RequestError as error:
+            self._host.context.metrics.bad_requests.labels(error.fault.field).inc()
+            reply = Reply(error.status, to_json(error.fault))
+        except CallerGone:
+            return
+        except Exception:
+            _log.exception("request-failed", request=request_id)
+            fault = BadRequest("internal error", "", "", "")
+            reply = Reply(STATUS_INTERNAL, to_json(fault))
+        await self._send(send, reply, request_id)
+
+    async def _send(self, send: Send, reply: Reply, request_id: str) -> None:
+        headers = [
+            (b"content-type", reply.content_type.encode()),
+            (b"content-length", str(len(reply.body)).encode()),
+            (REQUEST_HEADER.encode(), request_id.encode()),
+            (CLOCK_HEADER.encode(), str(self._host.context.clock.now()).encode()),
+        ]
+        if reply.retry_after:
+            seconds = math.ceil(reply.retry_after)
+            headers.append((b"retry-after", str(seconds).encode()))
+        await send(
+            {"type": "http.response.start", "status": reply.status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": reply.body})
+
+    async def _reply(
+        self, scope: dict[str, Any], receive: Receive, request_id: str
+    ) -> Reply:
+        request = read_request(scope)
+        stamp = request.header_by_name.get(CLOCK_HEADER, "")
+        self._host.context.clock.observe(parse_stamp(stamp))
+        match request.method, request.parts:
+            case "GET", ("entry",):
+                return _json(self._host.entry(request.query_by_name.get("place", "")))
+            case "GET", ("health",):
+                return _json({"host": self._host.context.host})
+            case "GET", ("status",):
+                return _json(self._host.status())
+            case "GET", ("timeline",):
+                return self._timeline(request)
+            case "GET", ("metrics",):
+                return self._metrics()
+            case "GET", ("deployments", name, "search"):
+                return await self._search(request, receive, request_id, name)
+            case "GET", ("deployments", name, "services", service, "documents", doc):
+                return await self._document(
+                    request, receive, request_id, name, service, doc
+                )
+            case "POST", ("deployments", name, "services", service, "orders", order):
+                return await self._order(
+                    request, receive, request_id, name, service, order
+                )
+        path = "/" + "/".join(request.parts)
+        raise bad_value("path", f"{request.method} {path}", "a known path", 404)
+
+    def _timeline(self, request: CallerRequest) -> Reply:
+        wanted = request.query_by_name.get("request", "")
+        return _json(self._host.context.timeline.events(wanted))
+
+    def _metrics(self) -> Reply:
+        body = generate_latest(self._host.context.metrics.registry)
+        return Reply(STATUS_OK, body, content_type=CONTENT_TYPE_LATEST)
+
+    def _runtime(self, name: str) -> DeploymentRuntime:
+        runtime = self._host.runtime_by_name.get(name)
+        if runtime is None:
+            known = ", ".join(sorted(self._host.runtime_by_name)) or "none"
+            raise bad_value("deployment", name, f"one of: {known}", STATUS_NOT_FOUND)
+        return runtime
+
+    def _check_service(
+        self, runtime: DeploymentRuntime, name: str, kinds: tuple[ServiceKind, ...]
+    ) -> str:
+        service = runtime.config.by_service.get(name)
+        if service is None:
+            raise bad_value("service", name, "a service of the deployment", 404)
+        if service.kind not in kinds:
+            raise bad_value("service", name, f"a service of kind {'/'.join(kinds)}")
+        return name
+
+    async def _search(
+        self, request: CallerRequest, receive: Receive, request_id: str, name: str
+    ) -> Reply:
+        runtime = self._runtime(name)
+        query = request.text("q")
+        seconds = request.deadline_seconds(runtime.config.policy.deadline)
+        now = self._host.context.timers.now
+        started = now()
+        search = Search(
+            runtime,
+            self._host.quarantine,
+            SearchQuery(request_id, query, started + seconds),
+        )
+        verdict = await self._run(
+            runtime, "search", request_id, _until_gone(search.run, receive)
+        )
+        if not isinstance(verdict, Ran):
+            return _verdict_reply(request_id, verdict)
+        result: SearchResult = verdict.answer
+        self._host.context.metrics.coverage.labels(name).observe(result.coverage.ratio)
+        return _json(
+            SearchReply(
+                request=request_id,
+                deployment=name,
+                snapshot=result.snapshot,
+                coverage=result.coverage,
+                coverage_ratio=result.coverage.ratio,
+                is_complete=result.coverage.is_complete,
+                deadline_ms=int(seconds * 1000),
+                elapsed_ms=round((now() - started) * 1000, 3),
+                hits=result.hits,
+            )
+        )
+
+    async def _document(
+        self,
+        request: CallerRequest,
+        receive: Receive,
+        request_id: str,
+        name: str,
+        service: str,
+        document: str,
+    ) -> Reply:
+        runtime = self._runtime(name)
+        self._check_service(runtime, service, tuple(ServiceKind))
+        seconds = request.deadline_seconds(runtime.config.policy.deadline)
+        query = DocumentQuery(
+            request_id,
+            service,
+            check_id("document", document),
+            self._host.context.timers.now() + seconds,
+        )
+
+        async def fetch() -> Verdict:
+            return await fetch_document(runtime, self._host.quarantine, query)
+
+        verdict = await self._run(
+            runtime, "document", request_id, _until_gone(fetch, receive)
+        )
+        return _verdict_reply(request_id, verdict)
+
+    async def _order(
+        self,
+        request: CallerRequest,
+        receive: Receive,
+        request_id: str,
+        name: str,
+        service: str,
+        order: str,
+    ) -> Reply:
+        runtime = self._runtime(name)
+        self._check_service(runtime, service, (ServiceKind.ORDER,))
+        check_id("order", order)
+        seconds = request.deadline_seconds(runtime.config.policy.deadline)
+        body = check_json(await read_body(receive))
+        wanted = OrderRequest(
+            request_id,
+            service,
+            order,
+            body,
+            self._host.context.timers.now() + seconds,
+        )
+
+        async def run() -> Verdict:
+            return await self._host.orders.run(runtime, wanted)
+
+        try:
+            verdict = await self._run(runtime, "order", request_id, run)
+        except DifferentOrderError:
+            expected = "a new id, or the content first sent with this one"
+            raise bad_value("order", order, expected, 409) from None
+        return _verdict_reply(request_id, verdict)
+
+    async def _run(
+        self,
+        runtime: DeploymentRuntime,
+        kind: str,
+        request_id: str,
+        run: Callable[[], Awaitable[Verdict]],
+    ) -> Verdict:
+        """Run a request within the admission limit, and record how it ended."""
+        admission = self._host.admission(runtime)
+        if not admission.enter():
+            verdict = NotRun(Cause.OVERLOAD, admission.retry_after)
+            self._count(runtime, kind, verdict)
+            return verdict
+        now = self._host.context.timers.now
+        started = now()
+        timeline = self._host.context.timeline
+        timeline.record(
+            EventKind.REQUEST_STARTED,
+            request=request_id,
+            deployment=runtime.name,
+            detail=kind,
+        )
+        verdict: Verdict = MayHaveRun(Cause.CANCELLED)
+        try:
+            verdict = await run()
+        finally:
+            seconds = now() - started
+            admission.leave(seconds)
+            self._count(runtime, kind, verdict)
+            metrics = self._host.context.metrics
+            metrics.latency.labels(runtime.name, kind).observe(seconds)
+            timeline.record(
+                EventKind.REQUEST_ENDED,
+                request=request_id,
+                deployment=runtime.name,
+                detail=f"{kind} {_verdict_name(verdict)} {seconds * 1000:.1f} ms",
+            )
+        return verdict
+
+    def _count(self, runtime: DeploymentRuntime, kind: str, verdict: Verdict) -> None:
+        name = _verdict_name(verdict)
+        self._host.context.metrics.verdicts.labels(runtime.name, kind, name).inc()
+
+
+def _until_gone(
+    run: Callable[[], Awaitable[Verdict]], receive: Receive
+) -> Callable[[], Awaitable[Verdict]]:
+    """Return a run that is cancelled when the caller closes the connection."""
+
+    async def watch(scope: anyio.CancelScope) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    async def run_watched() -> Verdict:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch, tasks.cancel_scope)
+            verdict = await run()
+            tasks.cancel_scope.cancel()
+            return verdict
+        raise CallerGone
+
+    return run_watched
+
+
+def _json(value: Any) -> Reply:
+    return Reply(STATUS_OK, to_json(value))
+
+
+def _verdict_name(verdict: Verdict) -> str:
+    match verdict:
+        case Ran():
+            return "ran"
+        case NotRun():
+            return "not-run"
+        case MayHaveRun():
+            return "may-have-run"
+
+
+def _verdict_reply(request_id: str, verdict: Verdict) -> Reply:
+    name = _verdict_name(verdict)
+    match verdict:
+        case Ran(answer):
+            body = to_json(RanReply(request_id, name, msgspec.Raw(answer.body)))
+            return Reply(answer.status, body)
+        case NotRun(cause, retry_after, detail):
+            status = STATUS_UNAVAILABLE
+        case MayHaveRun(cause, retry_after, detail):
+            status = STATUS_GATEWAY_TIMEOUT
+    reply = VerdictReply(request_id, name, cause, math.ceil(retry_after * 1000), detail)
+    return Reply(status, to_json(reply), retry_after)
--- /dev/null
+++ b/packages/host/crocusbay_host/host.py
@@ -0,0 +1,224 @@
+"""Host: wires the parts of one host together and keeps the deployments in force."""
+
+import socket
+import time
+
+import anyio
+import logbook
+
+from crocusbay.coordination import (
+    Admission,
+    Context,
+    DeploymentRuntime,
+    Membership,
+    Metrics,
+    ObjectCache,
+    OrderDesk,
+    Peering,
+    PeeringSetup,
+    Quarantine,
+    Replication,
+    order_entries,
+)
+from crocusbay.protocol import from_json
+from crocusbay.protocol.caller import EntryAnswer, HostStatus
+from crocusbay.protocol.platform import StoredObject
+from crocusbay.state import (
+    Deployment,
+    EventKind,
+    HybridClock,
+    IndexStatus,
+    Load,
+    Timeline,
+    UpstreamStatus,
+)
+from crocusbay.state.keys import (
+    CONFIG_PREFIX,
+    INDEX_PREFIX,
+    UPSTREAMS_PREFIX,
+    index_key,
+    upstreams_key,
+)
+from crocusbay.state.settings import Settings
+from crocusbay.transport import PlatformClient, TimerService, open_listener, serve
+
+HOST_COUNT_SECONDS = 0.5
+
+_log = logbook.Logger("crocusbay.host")
+
+
+class Host:
+    """Run one host of the system."""
+
+    def __init__(self, settings: Settings, clock: HybridClock) -> None:
+        self.settings = settings
+        self.runtime_by_name: dict[str, DeploymentRuntime] = {}
+        self.context = Context(
+            settings.name,
+            settings.place,
+            clock,
+            TimerService(),
+            Timeline(settings.name, clock),
+            Metrics(),
+        )
+        self.quarantine = Quarantine(self.context.timers.now)
+        self.orders: OrderDesk
+        self.caller_address = ""
+        self._admission_by_name: dict[str, Admission] = {}
+        self._cache = ObjectCache()
+        self._cache.subscribe(self._put_in_force)
+        self._membership = Membership(settings.name, self.context.timers.now)
+        self._platform = PlatformClient(settings.platform_address, clock)
+        self._listener: socket.socket
+        self._peering: Peering
+        self._replication: Replication
+        self._tasks: anyio.abc.TaskGroup
+        self._leaving = anyio.Event()
+
+    async def run(self, app, on_started) -> None:
+        """Serve until `leave` is called and the requests under way have ended."""
+        self._listener, self.caller_address = open_listener(
+            self.settings.caller_address
+        )
+        setup = PeeringSetup(
+            self.caller_address, self.settings.peer_address, self.settings.seeds
+        )
+        self._peering = Peering(
+            setup,
+            self.context,
+            self._membership,
+            self._cache,
+            self.quarantine,
+            self._load,
+        )
+        async with anyio.create_task_group() as self._tasks:
+            self.orders = OrderDesk(self._platform, self.context, self._tasks)
+            self._start_tasks()
+            self._record(EventKind.HOST_STARTED)
+            on_started(self.caller_address, self._peering.address)
+            await serve(app, self._listener, self._drained, self.settings.drain_limit)
+            self._record(EventKind.HOST_STOPPED)
+            self._tasks.cancel_scope.cancel()
+        await self._platform.close()
+
+    def leave(self) -> None:
+        """Begin a planned stop: tell the peers, and leave the entry answers."""
+        if self._leaving.is_set():
+            return
+        self._record(EventKind.HOST_LEAVING)
+        self._leaving.set()
+        self._peering.is_leaving = True
+        self._peering.send_heartbeats()
+
+    def entry(self, place: str) -> EntryAnswer:
+        """Return the addresses that a caller in the place may use."""
+        members = self._membership.serving
+        if not self._leaving.is_set():
+            members.append(self._peering.itself)
+        return EntryAnswer(
+            order_entries(members, place), int(self.settings.entry_lifetime * 1000)
+        )
+
+    def admission(self, runtime: DeploymentRuntime) -> Admission:
+        """Return the admission limit of a deployment."""
+        limit = runtime.config.policy.concurrent_requests
+        admission = self._admission_by_name.setdefault(runtime.name, Admission(limit))
+        admission.limit = limit
+        return admission
+
+    def status(self) -> HostStatus:
+        """Return this host's state for operators."""
+        itself = self._peering.itself
+        versions = {key: each.version for key, each in self._cache.by_key.items()}
+        return HostStatus(
+            name=itself.name,
+            place=itself.place,
+            caller_address=itself.caller_address,
+            incarnation=itself.incarnation,
+            is_leaving=itself.is_leaving,
+            revision=itself.revision,
+            running=itself.load.running,
+            limit=itself.load.limit,
+            config_versions=versions,
+            members=tuple(self._membership.live),
+            is_platform_up=self._replication.is_platform_up,
+            cpu_seconds=time.process_time(),
+        )
+
+    def _start_tasks(self) -> None:
+        self._replication = Replication(
+            self._platform,
+            self._cache,
+            self._membership,
+            self._peering,
+            self.context,
+        )
+        self._tasks.start_soon(self.context.timers.run)
+        self._tasks.start_soon(self._peering.run)
+        self._tasks.start_soon(self._replication.run_objects)
+        self._tasks.start_soon(self._replication.run_host_list)
+        self._tasks.start_soon(self._run_host_count)
+
+    async def _run_host_count(self) -> None:
+        """Divide connection limits among the hosts there are."""
+        async for _ in self.context.timers.every(HOST_COUNT_SECONDS):
+            for runtime in self.runtime_by_name.values():
+                runtime.set_hosts(self._membership.host_count)
+
+    async def _drained(self) -> None:
+        """Return once callers have had time to hear that this host leaves."""
+        await self._leaving.wait()
+        await self.context.timers.sleep(self.settings.entry_lifetime)
+
+    def _load(self) -> Load:
+        admissions = self._admission_by_name.values()
+        running = sum(admission.running for admission in admissions)
+        limit = sum(admission.limit for admission in admissions)
+        return Load(running, max(1, limit))
+
+    def _record(self, kind: EventKind, deployment: str = "", detail: str = "") -> None:
+        self.context.timeline.record(kind, deployment=deployment, detail=detail)
+        _log.info(kind.value, deployment=deployment, detail=detail)
+
+    def _put_in_force(self, stored: StoredObject) -> None:
+        """Take one newer object; keep the older one in force if it is malformed."""
+        if stored.key.startswith(CONFIG_PREFIX):
+            self._decode(stored, Deployment, self._set_config)
+        elif stored.key.startswith(UPSTREAMS_PREFIX):
+            self._decode(stored, UpstreamStatus, self._set_upstreams)
+        elif stored.key.startswith(INDEX_PREFIX):
+            self._decode(stored, IndexStatus, self._set_index)
+        self.context.metrics.revision.set(stored.version)
+
+    def _decode(self, stored: StoredObject, kind: type, put) -> None:
+        decoded = from_json(bytes(stored.value), kind)
+        if decoded.is_error():
+            _log.error("object-malformed", key=stored.key, fault=decoded.error)
+            self.context.metrics.bad_messages.inc()
+            return
+        put(stored, decoded.ok)
+        detail = f"{stored.key} version {stored.version}"
+        self._record(EventKind.CONFIG_IN_FORCE, detail=detail)
+
+    def _set_config(self, stored: StoredObject, config: Deployment) -> None:
+        runtime = self.runtime_by_name.get(config.name)
+        if runtime is not None:
+            runtime.set_config(config)
+            return
+        runtime = DeploymentRuntime(config, self.context, self._tasks)
+        self.runtime_by_name[config.name] = runtime
+        self._tasks.start_soon(runtime.run_sweeps)
+        runtime.set_hosts(self._membership.host_count)
+        for key in (upstreams_key(config.name), index_key(config.name)):
+            if key in self._cache.by_key:
+                self._put_in_force(self._cache.by_key[key])
+
+    def _set_upstreams(self, stored: StoredObject, status: UpstreamStatus) -> None:
+        runtime = self.runtime_by_name.get(stored.key.removeprefix(UPSTREAMS_PREFIX))
+        if runtime is not None:
+            runtime.set_upstreams(status)
+
+    def _set_index(self, stored: StoredObject, index: IndexStatus) -> None:
+        runtime = self.runtime_by_name.get(stored.key.removeprefix(INDEX_PREFIX))
+        if runtime is not None:
+            runtime.set_index(index)
--- /dev/null
+++ b/packages/host/crocusbay_host/main.py
@@ -0,0 +1,71 @@
+"""Command line of the host process."""
+
+import json
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+import click
+
+from crocusbay.state import HybridClock
+from crocusbay.state.settings import Settings, parse_settings
+from crocusbay_host.app import App
+from crocusbay_host.host import Host
+from crocusbay_host.log import make_handler
+
+EXIT_BAD_SETTINGS = 2
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--check", is_flag=True, help="Check FILE and end.")
+@click.version_option(package_name="crocusbay-host")
+def main(file: Path, check: bool) -> None:
+    """Run one host with the settings of FILE (INI) until SIGTERM or SIGINT.
+
+    A first signal begins a planned stop: the host leaves the entry answers, serves
+    on for one entry lifetime and then ends the requests under way.
+    """
+    settings = _load(file)
+    if check:
+        click.echo(f"{file}: valid settings of host {settings.name}")
+        return
+    clock = HybridClock()
+    with make_handler(settings.name, settings.log_level, clock).applicationbound():
+        anyio.run(_run, settings, clock, backend_options={"use_uvloop": True})
+
+
+def _load(file: Path) -> Settings:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    parsed = parse_settings(text)
+    if parsed.is_error():
+        for fault in parsed.error:
+            click.echo(f"{file}: {fault}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    return parsed.ok
+
+
+async def _run(settings: Settings, clock: HybridClock) -> None:
+    host = Host(settings, clock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_leave_on_signal, host)
+        await host.run(App(host), _announce)
+        tasks.cancel_scope.cancel()
+
+
+async def _leave_on_signal(host: Host) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            host.leave()
+
+
+def _announce(caller_address: str, peer_address: str) -> None:
+    """Write the addresses bound to standard output, for what started the process."""
+    started = {"caller_address": caller_address, "peer_address": peer_address}
+    click.echo(json.dumps(started))
+    sys.stdout.flush()
--- /dev/null
+++ b/packages/host/crocusbay_host/request.py
@@ -0,0 +1,124 @@
+"""Requests of callers: read from ASGI and checked."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from crocusbay.protocol.caller import (
+    MAX_BODY_BYTES,
+    MAX_DEADLINE_MS,
+    MAX_ID_CHARS,
+    MAX_QUERY_CHARS,
+    MIN_DEADLINE_MS,
+    BadRequest,
+)
+from crocusbay.protocol.codec import from_json
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+
+
+class RequestError(Exception):
+    """Refuse a request with a status and the value at fault."""
+
+    def __init__(self, status: int, fault: BadRequest) -> None:
+        super().__init__(fault.error)
+        self.status = status
+        self.fault = fault
+
+
+class CallerGone(Exception):
+    """Report that the caller closed the connection before its body was whole."""
+
+
+def bad_value(field: str, value: str, expected: str, status: int = 400) -> RequestError:
+    """Return the error for a value that is not valid."""
+    error = f"{field} is not valid"
+    return RequestError(status, BadRequest(error, field, value[:100], expected))
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold one request of a caller."""
+
+    method: str
+    parts: tuple[str, ...]
+    query_by_name: dict[str, str]
+    header_by_name: dict[str, str]
+
+    def text(self, name: str, limit: int = MAX_QUERY_CHARS) -> str:
+        """Return a query parameter; raise RequestError if absent or too long."""
+        value = self.query_by_name.get(name, "")
+        if not 0 < len(value) <= limit:
+            raise bad_value(name, value, f"1 to {limit} characters")
+        return value
+
+    def deadline_seconds(self, default: float) -> float:
+        """Return the deadline; raise RequestError if it is out of bounds."""
+        text = self.query_by_name.get("deadline_ms")
+        if text is None:
+            return default
+        if not text.isdecimal() or len(text) > 9:
+            raise bad_value("deadline_ms", text, _DEADLINE_EXPECTED)
+        if not MIN_DEADLINE_MS <= int(text) <= MAX_DEADLINE_MS:
+            raise bad_value("deadline_ms", text, _DEADLINE_EXPECTED)
+        return int(text) / 1000
+
+
+_DEADLINE_EXPECTED = f"milliseconds from {MIN_DEADLINE_MS} to {MAX_DEADLINE_MS}"
+
+
+def read_request(scope: dict[str, Any]) -> CallerRequest:
+    """Return the request of an ASGI scope; raise RequestError if it is malformed."""
+    raw_path = scope.get("raw_path") or scope["path"].encode()
+    path = raw_path.split(b"?")[0].decode("latin-1")
+    try:
+        query = parse_qs(
+            scope["query_string"].decode("ascii"),
+            keep_blank_values=True,
+            max_num_fields=20,
+            errors="strict",
+        )
+    except ValueError:
+        raise bad_value("query string", "", "at most 20 fields, in UTF-8") from None
+    return CallerRequest(
+        scope["method"],
+        tuple(unquote(part) for part in path.split("/")[1:]),
+        {name: values[-1] for name, values in query.items()},
+        {k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]},
+    )
+
+
+def check_id(field: str, value: str) -> str:
+    """Return an id; raise RequestError unless it is short and printable."""
+    is_plain = all(c.isalnum() or c in "-_.:" for c in value)
+    if not (0 < len(value) <= MAX_ID_CHARS and is_plain):
+        expected = f"1 to {MAX_ID_CHARS} letters, digits or -_.:"
+        raise bad_value(field, value, expected)
+    return value
+
+
+async def read_body(receive: Receive) -> bytes:
+    """Return the body; raise RequestError if it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGone
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > MAX_BODY_BYTES:
+            expected = f"at most {MAX_BODY_BYTES} bytes"
+            raise bad_value("body", f"over {MAX_BODY_BYTES} bytes", expected, 413)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def check_json(body: bytes) -> bytes:
+    """Return a body that is JSON; raise RequestError otherwise."""
+    decoded = from_json(body, Any)
+    if decoded.is_error():
+        shown = body[:50].decode("utf-8", "replace")
+        raise bad_value("body", shown, f"JSON ({decoded.error})")
+    return body
--- /dev/null
+++ b/packages/standins/crocusbay_standins/behaviour.py
@@ -0,0 +1,253 @@
+"""Behaviour of an upstream server: slots, service times, faults and an index."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, replace
+
+import anyio
+import xxhash
+
+from crocusbay.protocol.upstream import (
+    STATUS_CANCELLED,
+    STATUS_DEADLINE,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    STATUS_REFUSED,
+    STATUS_WRONG_SNAPSHOT,
+    HeldSnapshots,
+    Hit,
+    Refusal,
+    SearchAnswer,
+)
+from crocusbay.state import EventKind, IndexStatus, Service, Timeline, Upstream
+
+MAX_HITS_PER_SHARD = 3
+COLD_FACTOR = 5.0
+
+
+@dataclass(frozen=True)
+class Model:
+    """Set how servers of a process behave (milliseconds, seconds, shares)."""
+
+    service_ms: float = 2.0
+    straggler_ms: float = 40.0
+    straggler_share: float = 0.005
+    queue_limit: int = 16
+    one_way_ms: float = 4.5
+    jitter_ms: float = 0.3
+    loss_share: float = 0.0
+    loss_delay_ms: float = 200.0
+    cold_seconds: float = 0.0
+    restart_seconds: float = 2.0
+
+
+@dataclass(frozen=True)
+class ServerFaults:
+    """Hold the faults switched on at one server."""
+
+    is_draining: bool = False
+    is_shedding: bool = False
+    crash_on: str = ""
+    cross_answers: int = 0
+    late_ms: float = 0.0
+    stale_snapshot: bool = False
+
+
+class Crash(Exception):
+    """Report that the server crashes on this request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Hold one request as the server reads it (milliseconds)."""
+
+    request: str
+    method: str
+    path: str
+    query_by_name: dict[str, str]
+    body: bytes
+    snapshot: int
+    deadline_ms: float
+    place: str
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Hold the server's answer to one request."""
+
+    status: int
+    value: object = None
+
+
+class ServerModel:
+    """Answer the requests of one server."""
+
+    def __init__(
+        self, upstream: Upstream, service: Service, model: Model, timeline: Timeline
+    ) -> None:
+        self.upstream = upstream
+        self.service = service
+        self.model = model
+        self.faults = ServerFaults()
+        self.index = IndexStatus()
+        self.counts: Counter[str] = Counter()
+        self.runs_by_order: Counter[str] = Counter()
+        self.is_cold_until = 0.0
+        self._timeline = timeline
+        self._random = random.Random(upstream.name)
+        self._slots = anyio.Semaphore(service.slots)
+        self._waiting = 0
+        self._cancels_by_request: dict[str, anyio.Event] = {}
+
+    async def answer(self, work: Work) -> Done:
+        """Answer one request; raise Crash if it brings the server down."""
+        if work.path == "/health":
+            return Done(STATUS_OK, {})
+        await anyio.sleep(self._network_delay(work.place))
+        if work.path.startswith("/cancel/"):
+            return self._cancel(work.path.removeprefix("/cancel/"))
+        self.counts["requests"] += 1
+        if self.faults.is_draining:
+            self.counts["refused_draining"] += 1
+            return Done(STATUS_REFUSED, Refusal("draining"))
+        if self.faults.is_shedding or self._waiting >= self.model.queue_limit:
+            self.counts["shed"] += 1
+            return Done(STATUS_REFUSED, Refusal("shed", 20))
+        return await self._answer_cancellable(work)
+
+    async def _answer_cancellable(self, work: Work) -> Done:
+        cancelled = anyio.Event()
+        self._cancels_by_request[work.request] = cancelled
+        done: list[Done] = []
+
+        async def run() -> None:
+            done.append(await self._run_in_slot(work))
+            tasks.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run)
+                await cancelled.wait()
+                if work.method != "POST":
+                    tasks.cancel_scope.cancel()
+        finally:
+            self._cancels_by_request.pop(work.request, None)
+        if done:
+            return done[0]
+        self.counts["cancelled"] += 1
+        return Done(STATUS_CANCELLED)
+
+    async def _run_in_slot(self, work: Work) -> Done:
+        deadline = anyio.current_time() + work.deadline_ms / 1000
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            if anyio.current_time() > deadline:
+                self.counts["past_deadline"] += 1
+                return Done(STATUS_DEADLINE)
+            return await self._run(work)
+        finally:
+            self._slots.release()
+
+    async def _run(self, work: Work) -> Done:
+        crash_on = self.faults.crash_on
+        if crash_on and crash_on in f"{work.path} {work.query_by_name} {work.body!r}":
+            raise Crash
+        match work.path.split("/")[1]:
+            case "search":
+                done = self._search(work)
+            case "documents":
+                done = self._document(work)
+            case "orders" if work.method == "POST":
+                done = self._order(work)
+            case _:
+                return Done(STATUS_NOT_FOUND, {})
+        await anyio.sleep(self._service_time())
+        self.counts["ran"] += 1
+        return done
+
+    def _search(self, work: Work) -> Done:
+        version = work.snapshot
+        snapshot = self.index.by_version.get(version)
+        if snapshot is None:
+            return Done(STATUS_WRONG_SNAPSHOT, HeldSnapshots(tuple(self._held())))
+        if self.faults.stale_snapshot:
+            version -= 1
+        query = work.query_by_name.get("q", "")
+        wanted = work.query_by_name.get("shards", "").split(",")
+        own = snapshot.by_service.get(self.service.name, ())
+        shards = [shard for shard in own if shard.name in wanted]
+        hits = [hit for s in shards for hit in _find(query, s.name, version)]
+        documents = {shard.name: shard.documents for shard in shards}
+        return Done(STATUS_OK, SearchAnswer(version, documents, tuple(hits)))
+
+    def _held(self) -> list[int]:
+        return sorted(self.index.by_version)
+
+    def _document(self, work: Work) -> Done:
+        document = work.path.removeprefix("/documents/")
+        if document.startswith("absent"):
+            return Done(STATUS_NOT_FOUND, {"document": document})
+        return Done(STATUS_OK, {"document": document, "service": self.service.name})
+
+    def _order(self, work: Work) -> Done:
+        order = work.path.removeprefix("/orders/")
+        self.runs_by_order[order] += 1
+        self._timeline.record(
+            EventKind.UPSTREAM_RAN,
+            request=work.request,
+            detail=f"order {order} at {self.upstream.name}",
+        )
+        return Done(STATUS_OK, {"order": order, "accepted": True})
+
+    def _cancel(self, request: str) -> Done:
+        event = self._cancels_by_request.get(request)
+        if event is None:
+            return Done(STATUS_NOT_FOUND, {})
+        event.set()
+        return Done(STATUS_OK, {})
+
+    def _service_time(self) -> float:
+        model = self.model
+        mean = model.service_ms
+        if anyio.current_time() < self.is_cold_until:
+            mean *= COLD_FACTOR
+        spent = self._random.gammavariate(4.0, mean / 4.0)
+        if self._random.random() < model.straggler_share:
+            spent += self._random.uniform(0.5, 1.5) * model.straggler_ms
+        return (spent + self.faults.late_ms) / 1000
+
+    def _network_delay(self, place: str) -> float:
+        """Return the time of both ways between the places (seconds)."""
+        model = self.model
+        if not place or place == self.upstream.place:
+            return 0.0
+        delay = 2 * model.one_way_ms + self._random.expovariate(1.0) * model.jitter_ms
+        if self._random.random() < model.loss_share:
+            delay += model.loss_delay_ms
+        return delay / 1000
+
+    def take_crossed(self) -> bool:
+        """Return whether the next answer is to carry another request's id."""
+        if self.faults.cross_answers <= 0:
+            return False
+        left = self.faults.cross_answers - 1
+        self.faults = replace(self.faults, cross_answers=left)
+        return True
+
+
+def _find(query: str, shard: str, version: int) -> list[Hit]:
+    """Return hits that depend on the query, the shard and the snapshot alone."""
+    seed = xxhash.xxh3_64_intdigest(f"{query}/{shard}/{version}".encode())
+    count = seed % (MAX_HITS_PER_SHARD + 1)
+    return [
+        Hit(
+            f"{shard}-{number}",
+            ((seed >> (8 * number)) % 1000) / 1000,
+            f"{query} at snapshot {version}",
+        )
+        for number in range(count)
+    ]
--- /dev/null
+++ b/packages/standins/crocusbay_standins/control.py
@@ -0,0 +1,72 @@
+"""Control side of a stand-in: a small ASGI application on a socket of its own."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+from crocusbay.protocol import to_json
+from crocusbay.protocol.upstream import CLOCK_HEADER
+from crocusbay.state import HybridClock, parse_stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Hold one HTTP call to a stand-in."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    header_by_name: dict[str, str]
+    body: bytes
+
+    def first(self, name: str, default: str = "") -> str:
+        """Return the first value of a query parameter."""
+        return self.query.get(name, [default])[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one HTTP answer of a stand-in."""
+
+    status: int
+    value: Any = None
+
+
+Handle = Callable[[Call], Awaitable[Answer]]
+
+
+def make_app(handle: Handle, clock: HybridClock) -> Callable:
+    """Return an ASGI application that answers calls in JSON."""
+
+    async def app(scope, receive, send) -> None:
+        if scope["type"] != "http":
+            return
+        body = b""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        headers = {k.decode(): v.decode("latin-1") for k, v in scope["headers"]}
+        clock.observe(parse_stamp(headers.get(CLOCK_HEADER, "")))
+        query = parse_qs(scope["query_string"].decode())
+        call = Call(scope["method"], scope["path"], query, headers, body)
+        answer = await handle(call)
+        data = to_json(answer.value)
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status,
+                "headers": [
+                    (b"content-type", b"application/json"),
+                    (b"content-length", str(len(data)).encode()),
+                    (CLOCK_HEADER.encode(), str(clock.now()).encode()),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": data})
+
+    return app
--- /dev/null
+++ b/packages/standins/crocusbay_standins/lab.py
@@ -0,0 +1,243 @@
+"""Lab: starts the stand-ins and hosts of one deployment as local processes."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from crocusbay.protocol import to_json
+from crocusbay.protocol.platform import HostList, ListedHost
+from crocusbay.state import (
+    Deployment,
+    IndexStatus,
+    ServiceKind,
+    Shard,
+    Snapshot,
+    Upstream,
+    UpstreamStatus,
+)
+from crocusbay.state.keys import config_key, index_key, upstreams_key
+from crocusbay.transport.platform import VERSION_HEADER
+from crocusbay_standins.behaviour import Model
+from crocusbay_standins.upstreams import Plan, PlannedServer
+
+DOCUMENTS_PER_SHARD = 400
+STOP_SECONDS = 20.0
+CALL_SECONDS = 10.0
+
+
+@dataclass
+class Program:
+    """Hold one process and what it announced when it started."""
+
+    name: str
+    process: subprocess.Popen
+    announced: dict[str, Any] = field(default_factory=dict)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> int:
+        """Ask the process to end, and return its exit code."""
+        self.process.terminate()
+        return self.process.wait(STOP_SECONDS)
+
+
+@dataclass(frozen=True)
+class LabSetup:
+    """Describe what a lab starts."""
+
+    deployment: Deployment
+    hosts: int = 3
+    upstream_processes: int = 2
+    model: Model = Model()
+    entry_lifetime: float = 2.0
+
+
+class Lab:
+    """Hold the processes of a lab; `close` ends them all."""
+
+    def __init__(self, setup: LabSetup) -> None:
+        self.setup = setup
+        self.deployment = setup.deployment
+        self.platform: Program
+        self.upstreams: list[Program] = []
+        self.host_by_name: dict[str, Program] = {}
+        self.index = IndexStatus()
+        self.http = httpx.Client(timeout=CALL_SECONDS, trust_env=False)
+        self._folder = tempfile.TemporaryDirectory(prefix="crocusbay-lab-")
+        self._versions: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Start the platform, the upstreams and the hosts, in this order."""
+        self.platform = self._start("platform", "-m", "crocusbay_standins.platform")
+        for number in range(self.setup.upstream_processes):
+            self.upstreams.append(self._start_upstreams(number))
+        self.publish_index(make_snapshot(self.deployment, 1))
+        self.put(upstreams_key(self.deployment.name), self._upstream_status())
+        self.put(config_key(self.deployment.name), self.deployment)
+        for number in range(self.setup.hosts):
+            self.start_host(f"host-{number + 1}", number)
+        self.list_hosts()
+
+    def close(self) -> None:
+        """End every process."""
+        programs = [*self.host_by_name.values(), *self.upstreams]
+        programs += [self.platform] if hasattr(self, "platform") else []
+        for program in programs:
+            program.kill()
+        self.http.close()
+        self._folder.cleanup()
+
+    def start_host(self, name: str, number: int) -> Program:
+        """Start one host with its settings file."""
+        settings = Path(self._folder.name) / f"{name}.ini"
+        settings.write_text(self._host_settings(name, number))
+        code = "from crocusbay_host.main import main; main()"
+        self.host_by_name[name] = self._start(name, "-c", code, str(settings))
+        return self.host_by_name[name]
+
+    def host_url(self, name: str) -> str:
+        """Return the base URL of a host."""
+        return f"http://{self.host_by_name[name].announced['caller_address']}"
+
+    def list_hosts(self) -> None:
+        """Put the hosts that run on the platform's list."""
+        hosts = [
+            ListedHost(
+                name,
+                self._place(index),
+                program.announced["caller_address"],
+                program.announced["peer_address"],
+            )
+            for index, (name, program) in enumerate(self.host_by_name.items())
+        ]
+        self.control(self.platform, "hosts", HostList(tuple(hosts)))
+
+    def publish_index(self, snapshot: Snapshot, keep: int = 2) -> None:
+        """Give the servers a new snapshot, publish it, and retire the oldest."""
+        grown = IndexStatus((*self.index.snapshots, snapshot))
+        self.index = IndexStatus(grown.snapshots[-keep:])
+        self.hold_index(grown)
+        self.put(index_key(self.deployment.name), self.index)
+        self.hold_index(self.index)
+
+    def hold_index(self, index: IndexStatus) -> None:
+        """Make every server hold the snapshots."""
+        for program in self.upstreams:
+            self.control(program, "index", index)
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an object at the platform."""
+        url = f"http://{self.platform.announced['address']}/objects/{key}"
+        headers = {VERSION_HEADER: str(self._versions.get(key, 0))}
+        response = self.http.put(url, content=to_json(value), headers=headers)
+        response.raise_for_status()
+        self._versions[key] = response.json()["version"]
+
+    def control(self, program: Program, what: str, value: Any = None) -> Any:
+        """Call the control side of a stand-in."""
+        address = program.announced.get("control") or program.announced["address"]
+        body = b"" if value is None else to_json(value)
+        response = self.http.post(f"http://{address}/control/{what}", content=body)
+        response.raise_for_status()
+        return response.json()
+
+    def control_upstreams(self, what: str, value: Any = None) -> dict[str, Any]:
+        """Call the control side of every upstream process; merge the answers."""
+        merged: dict[str, Any] = {}
+        for program in self.upstreams:
+            merged.update(self.control(program, what, value) or {})
+        return merged
+
+    def _start(self, name: str, *arguments: str) -> Program:
+        log = Path(self._folder.name) / f"{name}.log"
+        with log.open("ab") as log_file:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log_file,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        line = process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{name} did not start: {log.read_text()[-2000:]}")
+        return Program(name, process, json.loads(line))
+
+    def _start_upstreams(self, number: int) -> Program:
+        planned = plan_servers(self.deployment)
+        mine = planned[number :: self.setup.upstream_processes]
+        plan = Plan(f"upstreams-{number + 1}", self.setup.model, tuple(mine))
+        plan_file = Path(self._folder.name) / f"{plan.process}.json"
+        plan_file.write_bytes(to_json(plan))
+        return self._start(
+            plan.process, "-m", "crocusbay_standins.upstreams", str(plan_file)
+        )
+
+    def _upstream_status(self) -> UpstreamStatus:
+        listed = [u for p in self.upstreams for u in p.announced["upstreams"]]
+        return UpstreamStatus(tuple(Upstream(**each) for each in listed))
+
+    def mark_leaving(self, *names: str) -> None:
+        """List servers as leaving in the platform's status."""
+        upstreams = [
+            replace(each, is_leaving=each.name in names)
+            for each in self._upstream_status().upstreams
+        ]
+        status = UpstreamStatus(tuple(upstreams))
+        self.put(upstreams_key(self.deployment.name), status)
+
+    def _place(self, number: int) -> str:
+        return self.deployment.places[number % len(self.deployment.places)]
+
+    def _host_settings(self, name: str, number: int) -> str:
+        seeds = [p.announced["peer_address"] for p in self.host_by_name.values()]
+        return (
+            f"[host]\nname = {name}\nplace = {self._place(number)}\n"
+            f"[callers]\naddress = 127.0.0.1:0\n"
+            f"entry_lifetime = {self.setup.entry_lifetime}\n"
+            f"[peers]\naddress = 127.0.0.1:0\nseeds = {', '.join(seeds[:2])}\n"
+            f"[platform]\naddress = {self.platform.announced['address']}\n"
+        )
+
+
+def plan_servers(deployment: Deployment) -> list[PlannedServer]:
+    """Return every server of the deployment, spread over its places."""
+    planned = []
+    for offset, service in enumerate(deployment.services):
+        for number in range(service.servers):
+            place = deployment.places[(offset + number) % len(deployment.places)]
+            name = f"{service.name}.{number + 1}"
+            upstream = Upstream(name, service.name, place, "127.0.0.1:0")
+            planned.append(PlannedServer(upstream, service))
+    return planned
+
+
+def make_snapshot(deployment: Deployment, version: int) -> Snapshot:
+    """Return a snapshot with one shard at each search service."""
+    searched = [s for s in deployment.services if s.kind is ServiceKind.SEARCH]
+    shards = [
+        Shard(f"{s.name}/{version}", s.name, DOCUMENTS_PER_SHARD) for s in searched
+    ]
+    return Snapshot(version, tuple(shards))
+
+
+@contextmanager
+def running_lab(setup: LabSetup) -> Iterator[Lab]:
+    """Start a lab and end it."""
+    lab = Lab(setup)
+    try:
+        lab.start()
+        yield lab
+    finally:
+        lab.close()
--- /dev/null
+++ b/packages/standins/crocusbay_standins/upstreams.py
@@ -0,0 +1,312 @@
+"""Stand-in for upstream servers: many servers in one process, one listener each."""
+
+import json
+import sys
+from dataclasses import asdict, dataclass
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import anyio
+import click
+import httptools
+
+from crocusbay.protocol import from_json, to_json
+from crocusbay.protocol.upstream import (
+    CLOCK_HEADER,
+    DEADLINE_HEADER,
+    LEAVING_HEADER,
+    PLACE_HEADER,
+    REQUEST_HEADER,
+    SNAPSHOT_HEADER,
+)
+from crocusbay.state import (
+    EventKind,
+    HybridClock,
+    IndexStatus,
+    Service,
+    Timeline,
+    Upstream,
+    parse_stamp,
+)
+from crocusbay.transport import open_listener, serve
+from crocusbay_standins.behaviour import (
+    Crash,
+    Done,
+    Model,
+    ServerFaults,
+    ServerModel,
+    Work,
+)
+from crocusbay_standins.control import Answer, Call, make_app
+
+
+@dataclass(frozen=True)
+class PlannedServer:
+    """Describe one server to run; its address may have port 0."""
+
+    upstream: Upstream
+    service: Service
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Describe the servers of one process."""
+
+    process: str
+    model: Model
+    servers: tuple[PlannedServer, ...]
+
+
+@dataclass(frozen=True)
+class FaultOrder:
+    """Switch faults at the servers named, or at all of them."""
+
+    faults: ServerFaults
+    servers: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class SilenceOrder:
+    """Make the connections that are open now go silent for good."""
+
+    servers: tuple[str, ...] = ()
+
+
+class _RequestReader:
+    """Collect the requests of one connection (callbacks of httptools)."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[bytes, dict[str, str], bytes]] = []
+        self.on_message_begin()
+
+    def on_message_begin(self) -> None:
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body = b""
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self.requests.append((self._url, self._headers, self._body))
+
+
+class ListeningServer:
+    """Accept the connections of one server and answer on them."""
+
+    def __init__(self, model: ServerModel, clock: HybridClock) -> None:
+        self.model = model
+        self._clock = clock
+        self._connections: dict[anyio.CancelScope, anyio.abc.SocketStream] = {}
+        self._silent: set[anyio.CancelScope] = set()
+        self._last_request = ""
+        self._crashed = anyio.Event()
+
+    async def run(self, listener: anyio.abc.SocketListener) -> None:
+        """Serve; after a crash, refuse connections for a while and start again."""
+        address = self.model.upstream.address
+        while True:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, self._serve)
+                await self._crashed.wait()
+                tasks.cancel_scope.cancel()
+            self._crashed = anyio.Event()
+            self._silent.clear()
+            await listener.aclose()
+            await anyio.sleep(self.model.model.restart_seconds)
+            ip, _, port = address.rpartition(":")
+            listener = await anyio.create_tcp_listener(
+                local_host=ip, local_port=int(port)
+            )
+            cold = self.model.model.cold_seconds
+            self.model.is_cold_until = anyio.current_time() + cold
+
+    def silence(self) -> None:
+        """Make the connections that are open now go silent for good."""
+        self._silent.update(self._connections)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        service = self.model.service
+        if len(self._connections) >= service.connections:
+            self.model.counts["connections_refused"] += 1
+            await anyio.aclose_forcefully(stream)
+            return
+        self.model.counts["connections"] += 1
+        with anyio.CancelScope() as scope:
+            self._connections[scope] = stream
+            peak = max(self.model.counts["peak_connections"], len(self._connections))
+            self.model.counts["peak_connections"] = peak
+            try:
+                await anyio.sleep(service.connect_cost)
+                await self._answer_requests(stream, scope)
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                pass
+            except httptools.HttpParserError:
+                self.model.counts["malformed"] += 1
+            finally:
+                self._connections.pop(scope, None)
+                with anyio.CancelScope(shield=True):
+                    await anyio.aclose_forcefully(stream)
+
+    async def _answer_requests(
+        self, stream: anyio.abc.SocketStream, scope: anyio.CancelScope
+    ) -> None:
+        reader = _RequestReader()
+        parser = httptools.HttpRequestParser(reader)
+        while True:
+            parser.feed_data(await stream.receive())
+            while reader.requests:
+                request = reader.requests.pop(0)
+                if scope in self._silent:
+                    continue
+                work = _read_work(parser.get_method().decode(), *request)
+                self._clock.observe(parse_stamp(request[1].get(CLOCK_HEADER, "")))
+                try:
+                    done = await self.model.answer(work)
+                except Crash:
+                    self._crash()
+                    return
+                if scope not in self._silent:
+                    await stream.send(self._encode(work, done))
+
+    def _crash(self) -> None:
+        self.model.counts["crashes"] += 1
+        self._crashed.set()
+
+    def _encode(self, work: Work, done: Done) -> bytes:
+        body = to_json(done.value)
+        request = work.request
+        if work.path != "/health" and self.model.take_crossed():
+            request = self._last_request or "crossed"
+        self._last_request = work.request
+        leaving = f"{LEAVING_HEADER}: 1\r\n" if self.model.faults.is_draining else ""
+        head = (
+            f"HTTP/1.1 {done.status} -\r\n"
+            f"content-type: application/json\r\n"
+            f"content-length: {len(body)}\r\n"
+            f"{REQUEST_HEADER}: {request}\r\n"
+            f"{CLOCK_HEADER}: {self._clock.now()}\r\n"
+            f"{leaving}\r\n"
+        )
+        return head.encode() + body
+
+
+def _read_work(method: str, url: bytes, headers: dict[str, str], body: bytes) -> Work:
+    parts = urlsplit(url.decode())
+    return Work(
+        request=headers.get(REQUEST_HEADER, ""),
+        method=method,
+        path=unquote(parts.path),
+        query_by_name=dict(parse_qsl(parts.query)),
+        body=body,
+        snapshot=int(headers.get(SNAPSHOT_HEADER, "0")),
+        deadline_ms=float(headers.get(DEADLINE_HEADER, "60000")),
+        place=headers.get(PLACE_HEADER, ""),
+    )
+
+
+class UpstreamProcess:
+    """Run the servers of one plan and their control side."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.clock = HybridClock()
+        self.timeline = Timeline(plan.process, self.clock)
+        self._plan = plan
+        self.by_name: dict[str, ListeningServer] = {}
+
+    async def run(self) -> None:
+        """Serve until killed."""
+        listener, control = open_listener("127.0.0.1:0")
+        async with anyio.create_task_group() as tasks:
+            for planned in self._plan.servers:
+                await self._start(planned, tasks)
+            upstreams = [
+                asdict(server.model.upstream) for server in self.by_name.values()
+            ]
+            click.echo(json.dumps({"control": control, "upstreams": upstreams}))
+            sys.stdout.flush()
+            app = make_app(self.handle, self.clock)
+            await serve(app, listener, anyio.sleep_forever, 0.0)
+
+    async def _start(self, planned: PlannedServer, tasks: anyio.abc.TaskGroup) -> None:
+        ip, _, port = planned.upstream.address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=ip, local_port=int(port))
+        bound = listener.extra(anyio.abc.SocketAttribute.local_port)
+        upstream = Upstream(**{**asdict(planned.upstream), "address": f"{ip}:{bound}"})
+        model = ServerModel(upstream, planned.service, self._plan.model, self.timeline)
+        server = ListeningServer(model, self.clock)
+        self.by_name[upstream.name] = server
+        tasks.start_soon(server.run, listener)
+
+    async def handle(self, call: Call) -> Answer:
+        """Answer one call of the control side."""
+        match call.path:
+            case "/timeline":
+                return Answer(200, self.timeline.events(call.first("request")))
+            case "/control/counts":
+                return Answer(200, self._counts())
+            case "/control/orders":
+                return Answer(200, self._orders())
+            case "/control/faults":
+                return self._order(call, FaultOrder, self._set_faults)
+            case "/control/silence":
+                return self._order(call, SilenceOrder, self._silence)
+            case "/control/index":
+                return self._order(call, IndexStatus, self._set_index)
+        return Answer(404)
+
+    def _order(self, call: Call, kind: type, carry_out) -> Answer:
+        decoded = from_json(call.body, kind)
+        if decoded.is_error():
+            return Answer(400, decoded.error)
+        self.timeline.record(EventKind.FAULT_SET, detail=call.body.decode()[:200])
+        carry_out(decoded.ok)
+        return Answer(200)
+
+    def _named(self, names: tuple[str, ...]) -> list[ListeningServer]:
+        if not names:
+            return list(self.by_name.values())
+        return [self.by_name[name] for name in names if name in self.by_name]
+
+    def _set_faults(self, order: FaultOrder) -> None:
+        for server in self._named(order.servers):
+            server.model.faults = order.faults
+
+    def _silence(self, order: SilenceOrder) -> None:
+        for server in self._named(order.servers):
+            server.silence()
+
+    def _set_index(self, index: IndexStatus) -> None:
+        for server in self.by_name.values():
+            server.model.index = index
+
+    def _counts(self) -> dict[str, dict[str, int]]:
+        return {
+            name: dict(server.model.counts) for name, server in self.by_name.items()
+        }
+
+    def _orders(self) -> dict[str, dict[str, int]]:
+        return {
+            name: dict(server.model.runs_by_order)
+            for name, server in self.by_name.items()
+        }
+
+
+@click.command()
+@click.argument("plan_file", type=click.File("rb"))
+def main(plan_file) -> None:
+    """Run the servers of PLAN_FILE (JSON) until the process is killed."""
+    decoded = from_json(plan_file.read(), Plan)
+    if decoded.is_error():
+        raise click.BadParameter(decoded.error)
+    process = UpstreamProcess(decoded.ok)
+    anyio.run(process.run, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    main()
