Add the operators' command and the load tool

Cause: changes, status and events could not be reached by operators, and no figure of the whole path existed.

Ruled out: letting `apply` take the newest revision as its base. An operator with an old questionnaire would then undo another shift's change without notice; so a questionnaire names the revision that it revises.

Change: questionnaire, plan, apply, history, status and timeline; an open loop of seeded callers that ask for addresses, keep them, and report latency, coverage, extra load and CPU for each sub-request.

--- /dev/null
+++ b/packages/command/crocusbay_command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- a/packages/core/crocusbay/state/questionnaire.py
+++ b/packages/core/crocusbay/state/questionnaire.py
@@ -1,5 +1,6 @@
 """Questionnaires: what a team fills in, and the configuration generated from it."""
 
+import re
 from configparser import ConfigParser
 from dataclasses import dataclass
 from typing import Any
@@ -42,8 +43,13 @@
     "coverage": CoverageFirst(),
 }
 
+_REVISION_LINE = re.compile(r"^revision\s*=.*$", re.MULTILINE)
+
 _DEPLOYMENT = {
     "name": Field(read_name, "a name such as destovka"),
+    "revision": Field(
+        read_count(0, 2**53), "the revision that this questionnaire revises, 0 if none"
+    ),
     "weigh_most": Field(read_choice(*_WEIGHINGS), "latency or coverage"),
     "answer_within_ms": Field(read_number(1, 60_000), "milliseconds from 1 to 60000"),
     "extra_load_percent": Field(read_number(0, 100), "a percentage from 0 to 100"),
@@ -66,8 +72,16 @@
 }
 
 
-def parse_questionnaire(text: str) -> Result[Deployment, tuple[Fault, ...]]:
-    """Return the deployment that a questionnaire asks for, or all of its faults."""
+@dataclass(frozen=True)
+class Questionnaire:
+    """Hold a deployment asked for, and the revision that was revised for it."""
+
+    revision: int
+    deployment: Deployment
+
+
+def parse_questionnaire(text: str) -> Result[Questionnaire, tuple[Fault, ...]]:
+    """Return what a questionnaire asks for, or all of its faults."""
     parsed = parse_ini(text)
     if parsed.is_error():
         return Error(parsed.error)
@@ -83,19 +97,26 @@
             group, found = _read_group(parser, section)
             services += group
             faults += found
+    names = [service.name for service in services]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        faults.append(Fault(f"service {name}", "", name, "a name used once"))
     if not services and not faults:
         faults.append(Fault("service ...", "", "", "at least one service"))
     if faults:
         return Error(tuple(faults))
-    return Ok(
-        Deployment(
-            name=general["name"],
-            places=places["names"],
-            policy=_generate_policy(general),
-            services=tuple(services),
-            questionnaire=text,
-        )
+    deployment = Deployment(
+        name=general["name"],
+        places=places["names"],
+        policy=_generate_policy(general),
+        services=tuple(services),
+        questionnaire=text,
     )
+    return Ok(Questionnaire(general["revision"], deployment))
+
+
+def set_revision(text: str, revision: int) -> str:
+    """Return the questionnaire with the revision that it revises."""
+    return _REVISION_LINE.sub(f"revision = {revision}", text, count=1)
 
 
 def _unknown_sections(parser: ConfigParser) -> list[Fault]:
