--- a/packages/core/crocusbay/coordination/order.py
+++ b/packages/core/crocusbay/coordination/order.py
@@ -158,6 +158,7 @@
             exchange = server.send(sub, lambda s, e, v: mailbox.put(v))
             verdicts = await mailbox.take_until(order.deadline)
             if not verdicts and exchange.is_sent:
+                server.pool.close_if_overdue(exchange)
                 return MayHaveRun(Cause.DEADLINE, RETRY_AFTER_SECONDS)
             if not verdicts:
                 server.abandon(exchange)
--- a/packages/core/crocusbay/coordination/runtime.py
+++ b/packages/core/crocusbay/coordination/runtime.py
@@ -18,7 +18,6 @@
 )
 
 BUDGET_BURST = 50.0
-SWEEP_SECONDS = 0.05
 LACKING_SECONDS = 0.25
 
 
@@ -107,12 +106,6 @@
         """Count requests to upstreams."""
         self.context.metrics.sub_requests.labels(self.name, reason).inc(requests)
 
-    async def run_sweeps(self) -> None:
-        """Close overdue connections until cancelled."""
-        async for _ in self.context.timers.every(SWEEP_SECONDS):
-            for server in list(self.servers_by_name.values()):
-                server.pool.sweep()
-
     def _share(self, service: Service) -> int:
         return max(1, service.connections // self._hosts)
 
--- a/packages/core/crocusbay/coordination/scatter.py
+++ b/packages/core/crocusbay/coordination/scatter.py
@@ -88,8 +88,7 @@
     async def run(self) -> None:
         """Fill the verdict of each leg by the deadline."""
         try:
-            for leg in self.legs:
-                self._start(leg, Reason.PRIMARY)
+            self._start_all()
             while self._pending and not self.is_stopped:
                 if self._timers.now() >= self._job.deadline:
                     break
@@ -101,6 +100,13 @@
         """End the request early, as when its snapshot is gone."""
         self.is_stopped = True
 
+    def _start_all(self) -> None:
+        self._runtime.count(Reason.PRIMARY, len(self.legs))
+        self._runtime.hedges.earn(len(self.legs))
+        self._runtime.retries.earn(len(self.legs))
+        for leg in self.legs:
+            self._start(leg, Reason.PRIMARY)
+
     async def _step(self) -> None:
         next_due = self._due[0][0] if self._due else self._job.deadline
         items = await self._mailbox.take_until(min(next_due, self._job.deadline))
@@ -122,10 +128,8 @@
                 self._wait_for_server(leg)
             return False
         leg.tried.add(server.upstream.name)
-        self._runtime.count(reason)
-        if reason is Reason.PRIMARY:
-            self._runtime.hedges.earn()
-            self._runtime.retries.earn()
+        if reason is not Reason.PRIMARY:
+            self._runtime.count(reason)
         sub = SubRequest(
             self._job.request,
             "GET",
@@ -272,6 +276,7 @@
         )
 
     def _end(self) -> None:
+        self._mailbox.close()
         is_quarantined = self._quarantine.holds(self._job.fingerprint)
         for leg in self.legs:
             if leg.verdict is not None:
--- a/packages/core/crocusbay/coordination/search.py
+++ b/packages/core/crocusbay/coordination/search.py
@@ -12,6 +12,7 @@
     Hit,
     SearchAnswer,
     SubResponse,
+    decode_answer,
     search_target,
 )
 from crocusbay.state import (
@@ -157,10 +158,9 @@
 
 def _take_answer(this_pass: _Pass, leg: Leg, response: SubResponse) -> Cause | None:
     """Keep an answer of the pass's snapshot; refuse any other."""
-    decoded = from_json(response.body, SearchAnswer)
-    if decoded.is_error():
+    answer = decode_answer(response.body)
+    if answer is None:
         return Cause.PROTOCOL
-    answer = decoded.ok
     if answer.snapshot != this_pass.snapshot.version:
         return Cause.WRONG_SNAPSHOT
     this_pass.answers_by_service[leg.service] = answer
--- a/packages/core/crocusbay/coordination/server.py
+++ b/packages/core/crocusbay/coordination/server.py
@@ -68,6 +68,7 @@
             return
         exchange.abandon()
         self.in_flight -= 1
+        self.pool.close_if_overdue(exchange)
 
     def mark_leaving(self) -> None:
         """Give the server no new work for a while."""
--- a/packages/core/crocusbay/protocol/upstream.py
+++ b/packages/core/crocusbay/protocol/upstream.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+import msgspec
+
 REQUEST_HEADER = "crocusbay-request"
 SNAPSHOT_HEADER = "crocusbay-snapshot"
 DEADLINE_HEADER = "crocusbay-deadline-ms"
@@ -38,6 +40,20 @@
     hits: tuple[Hit, ...] = ()
 
 
+_answer_decoder = msgspec.json.Decoder(SearchAnswer)
+
+
+def decode_answer(body: bytes) -> SearchAnswer | None:
+    """Return a search answer, or None if it is malformed.
+
+    No Result here: building one costs more than the decoding, once a sub-request.
+    """
+    try:
+        return _answer_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class HeldSnapshots:
     """Tell which snapshots a server holds."""
--- a/packages/core/crocusbay/transport/connection.py
+++ b/packages/core/crocusbay/transport/connection.py
@@ -30,9 +30,9 @@
     split_address,
 )
 from crocusbay.transport.exchange import Exchange
+from crocusbay.transport.stream import UpstreamStream, open_stream
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-SEND_TIMEOUT_SECONDS = 1.0
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
 _REQUEST_HEADER = REQUEST_HEADER.encode()
@@ -68,7 +68,7 @@
         self._clock = clock
         self._on_idle = on_idle
         self._now = now
-        self._stream: anyio.abc.SocketStream | None = None
+        self._stream: UpstreamStream
         self._scope = anyio.CancelScope()
         self.on_message_begin()
 
@@ -77,17 +77,16 @@
         ip, port = split_address(self.address)
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-                self._stream = await anyio.connect_tcp(ip, port)
+                self._stream = await open_stream(ip, port)
         except (OSError, TimeoutError):
             return Cause.CONNECT_FAILED
         with self._scope:
             self._on_idle(self)
             await self._read_responses()
         self.is_closing = True
+        self._stream.close()
         if self.current:
             self.current.fail(self.close_cause)
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
         return None
 
     def close(self, cause: Cause) -> None:
@@ -96,27 +95,22 @@
         self.close_cause = cause
         self._scope.cancel()
 
-    async def send(self, exchange: Exchange, data: bytes) -> None:
+    def send(self, exchange: Exchange, data: bytes) -> None:
         """Write one request; a failed write closes the connection."""
         exchange.is_sent = True
         exchange.sent_at = self._now()
         try:
-            with anyio.fail_after(SEND_TIMEOUT_SECONDS):
-                await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self._stream.send(data)
+        except anyio.BrokenResourceError:
             self.close(Cause.RESET)
-        except TimeoutError:
-            self.close(Cause.SILENT)
 
     async def _read_responses(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         try:
             while True:
                 self._parser.feed_data(await self._stream.receive())
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
+        except anyio.EndOfStream:
             self.close_cause = Cause.RESET
-        except anyio.ClosedResourceError:
-            pass
         except (httptools.HttpParserError, ProtocolError) as error:
             is_crossed = isinstance(error.__context__ or error, CrossedError)
             self.close_cause = Cause.CROSSED if is_crossed else Cause.PROTOCOL
--- a/packages/core/crocusbay/transport/pool.py
+++ b/packages/core/crocusbay/transport/pool.py
@@ -18,7 +18,7 @@
 
 
 class UpstreamPool:
-    """Hand exchanges to connections; one task writes, one a connection reads."""
+    """Hand exchanges to connections; each connection has a task that reads."""
 
     def __init__(
         self,
@@ -36,12 +36,10 @@
         self._timers = timers
         self._clock = clock
         self._waiting: deque[Exchange] = deque()
-        self._writes: deque[tuple[UpstreamConnection, Exchange]] = deque()
         self._idle: list[UpstreamConnection] = []
         self._connections: set[UpstreamConnection] = set()
         self._connecting = 0
-        self._is_closed = False
-        self._wake = anyio.Event()
+        self._closed = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     @property
@@ -55,20 +53,15 @@
         return bool(self._idle)
 
     async def run(self) -> None:
-        """Write requests until closed; open one connection ahead of the first."""
+        """Hold the connections until closed; open one ahead of the first request."""
         async with anyio.create_task_group() as self._tasks:
             self._open_connection()
             self._pump()
-            while not (self._is_closed and not self._connections):
-                await self._wake.wait()
-                self._wake = anyio.Event()
-                while self._writes:
-                    connection, exchange = self._writes.popleft()
-                    await self._write(connection, exchange)
+            await self._closed.wait()
 
     def submit(self, exchange: Exchange) -> None:
         """Queue an exchange; a full queue refuses it at once."""
-        if self._is_closed:
+        if self._closed.is_set():
             exchange.fail(Cause.LEAVING)
             return
         if len(self._waiting) >= MAX_WAITING:
@@ -85,20 +78,14 @@
             self._connections.discard(connection)
             connection.close(Cause.CANCELLED)
 
-    def sweep(self) -> None:
-        """Close connections whose request is overdue."""
-        now = self._timers.now()
-        for connection in list(self._connections):
-            exchange = connection.current
-            if exchange is None or not exchange.is_sent:
-                continue
-            if now > exchange.sub.deadline + exchange.sub.patience:
-                connection.close(Cause.SILENT)
+    def close_if_overdue(self, exchange: Exchange) -> None:
+        """Close the connection that still waits for an answer when it is overdue."""
+        overdue_at = exchange.sub.deadline + exchange.sub.patience
+        self._timers.at(overdue_at, lambda: self._close_stuck(exchange))
 
     def close(self) -> None:
         """Refuse what waits and let the requests under way end."""
-        self._is_closed = True
-        self._wake.set()
+        self._closed.set()
         self._fail_waiting(Cause.LEAVING)
         for connection in list(self._connections):
             if connection.current is None:
@@ -107,9 +94,13 @@
     def _pump(self) -> None:
         while self._waiting and self._idle:
             exchange = self._waiting.popleft()
-            if not exchange.is_done:
-                self._assign(self._idle.pop(), exchange)
-        if self._tasks is None or self._is_closed:
+            if exchange.is_done:
+                continue
+            if exchange.sub.deadline <= self._timers.now():
+                exchange.fail(Cause.DEADLINE)
+                continue
+            self._assign(self._idle.pop(), exchange)
+        if self._tasks is None or self._closed.is_set():
             return
         while (
             self._connecting < len(self._waiting)
@@ -122,8 +113,7 @@
         if not exchange.sub.is_idempotent and not is_proved:
             exchange = self._ping_before(exchange)
         connection.current = exchange
-        self._writes.append((connection, exchange))
-        self._wake.set()
+        self._write(connection, exchange)
 
     def _ping_before(self, held: Exchange) -> Exchange:
         """Return a ping that proves a connection before a non-idempotent request."""
@@ -136,25 +126,15 @@
 
         self.pings += 1
         deadline = self._timers.now() + PING_DEADLINE_SECONDS
-        ping = SubRequest(f"{held.sub.request}.ping", "GET", PING_TARGET, deadline)
-        return Exchange(ping, pinged)
+        ping = Exchange(
+            SubRequest(f"{held.sub.request}.ping", "GET", PING_TARGET, deadline),
+            pinged,
+        )
+        self.close_if_overdue(ping)
+        return ping
 
-    async def _write(self, connection: UpstreamConnection, exchange: Exchange) -> None:
-        if connection.is_closing:
-            connection.current = None
-            self._waiting.appendleft(exchange)
-            self._pump()
-            return
-        if exchange.is_done:
-            connection.current = None
-            self._on_idle(connection)
-            return
+    def _write(self, connection: UpstreamConnection, exchange: Exchange) -> None:
         remaining = exchange.sub.deadline - self._timers.now()
-        if remaining <= 0:
-            connection.current = None
-            exchange.fail(Cause.DEADLINE)
-            self._on_idle(connection)
-            return
         data = encode_request(
             exchange.sub,
             host=self.upstream.address,
@@ -162,7 +142,7 @@
             stamp=str(self._clock.now()),
             remaining_ms=math.ceil(remaining * 1000),
         )
-        await connection.send(exchange, data)
+        connection.send(exchange, data)
 
     def _open_connection(self) -> None:
         connection = UpstreamConnection(
@@ -183,7 +163,6 @@
                 self._fail_waiting(failure)
         cause = failure or connection.close_cause
         self.closed_by_cause[cause] = self.closed_by_cause.get(cause, 0) + 1
-        self._wake.set()
         self._pump()
 
     def _on_idle(self, connection: UpstreamConnection) -> None:
@@ -191,12 +170,17 @@
             self._connecting -= 1
         if connection.is_closing:
             return
-        if self._is_closed or len(self._connections) > self.share:
+        if self._closed.is_set() or len(self._connections) > self.share:
             connection.close(Cause.CANCELLED)
             return
         self._idle.append(connection)
         self._pump()
 
+    def _close_stuck(self, exchange: Exchange) -> None:
+        for connection in list(self._connections):
+            if connection.current is exchange:
+                connection.close(Cause.SILENT)
+
     def _fail_waiting(self, cause: Cause) -> None:
         waiting, self._waiting = self._waiting, deque()
         for exchange in waiting:
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -207,7 +207,6 @@
             return
         runtime = DeploymentRuntime(config, self.context, self._tasks)
         self.runtime_by_name[config.name] = runtime
-        self._tasks.start_soon(runtime.run_sweeps)
         runtime.set_hosts(self._membership.host_count)
         for key in (upstreams_key(config.name), index_key(config.name)):
             if key in self._cache.by_key:
