--- a/packages/core/crocusbay/coordination/peering.py
+++ b/packages/core/crocusbay/coordination/peering.py
@@ -5,17 +5,20 @@
 from dataclasses import dataclass, replace
 
 import anyio
+import msgspec
 
 from crocusbay.coordination.context import Context
 from crocusbay.coordination.membership import HEARTBEAT_SECONDS, Membership
 from crocusbay.coordination.objects import ObjectCache
 from crocusbay.coordination.quarantine import Quarantine
 from crocusbay.protocol.peer import (
+    CarriedObject,
     GiveObjects,
     Heartbeat,
     PeerMessage,
     WantObjects,
 )
+from crocusbay.protocol.platform import StoredObject
 from crocusbay.state import EventKind, Load, Member
 from crocusbay.transport import PeerListener, PeerSender
 
@@ -140,7 +143,7 @@
             case WantObjects(sender=sender, after=after):
                 self._give(sender, after)
             case GiveObjects(revision=revision, objects=objects):
-                self._cache.offer(objects, revision)
+                self._cache.offer(map(_unpack, objects), revision)
 
     def _see(self, member: Member) -> None:
         if self._membership.take(member):
@@ -181,12 +184,17 @@
         for stored in sorted(
             self._cache.changed_after(after), key=lambda each: each.version
         ):
-            size += len(bytes(stored.value))
+            carried = CarriedObject(stored.key, stored.version, bytes(stored.value))
+            size += len(carried.value)
             if given and size > MAX_GIVEN_BYTES:
                 reached = given[-1].version
                 break
-            given.append(stored)
+            given.append(carried)
         give = GiveObjects(
             self.itself, self._context.clock.now(), reached, tuple(given)
         )
         self._send(sender.peer_address, give)
+
+
+def _unpack(carried: CarriedObject) -> StoredObject:
+    return StoredObject(carried.key, carried.version, msgspec.Raw(carried.value))
--- a/packages/core/crocusbay/coordination/runtime.py
+++ b/packages/core/crocusbay/coordination/runtime.py
@@ -61,7 +61,10 @@
         self._rebuild()
 
     def set_hosts(self, hosts: int) -> None:
-        """Divide connection limits among this many hosts."""
+        """Divide connection limits among the hosts seen, or planned if more.
+
+        A host that starts knows no others yet, so the planned number is the least.
+        """
         if hosts == self._hosts:
             return
         self._hosts = hosts
@@ -107,7 +110,8 @@
         self.context.metrics.sub_requests.labels(self.name, reason).inc(requests)
 
     def _share(self, service: Service) -> int:
-        return max(1, service.connections // self._hosts)
+        hosts = max(self._hosts, self.config.hosts)
+        return max(1, service.connections // hosts)
 
     def _rebuild(self) -> None:
         wanted = {
--- a/packages/core/crocusbay/protocol/peer.py
+++ b/packages/core/crocusbay/protocol/peer.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from crocusbay.protocol.platform import StoredObject
 from crocusbay.state import Member, Stamp
 
 MAX_PEER_MESSAGE_BYTES = 8 * 1024 * 1024
@@ -25,6 +24,14 @@
     strikes: tuple[Strike, ...] = ()
 
 
+class CarriedObject(msgspec.Struct, frozen=True):
+    """Hold an object between hosts; the value is JSON as the platform stores it."""
+
+    key: str
+    version: int
+    value: bytes
+
+
 class WantObjects(msgspec.Struct, frozen=True, tag=True):
     """Ask for the objects changed after a revision."""
 
@@ -39,7 +46,7 @@
     sender: Member
     stamp: Stamp
     revision: int
-    objects: tuple[StoredObject, ...]
+    objects: tuple[CarriedObject, ...]
 
 
 PeerMessage = Heartbeat | WantObjects | GiveObjects
--- /dev/null
+++ b/packages/core/crocusbay/protocol/tests/test_peer.py
@@ -0,0 +1,45 @@
+import pytest
+
+from crocusbay.protocol import from_pack, to_pack
+from crocusbay.protocol.peer import (
+    CarriedObject,
+    GiveObjects,
+    Heartbeat,
+    PeerMessage,
+    Strike,
+    WantObjects,
+)
+from crocusbay.state import Load, Member, Stamp
+
+MEMBER = Member("host-1", "sofia-1", "10.0.0.1:80", "10.0.0.1:81", 5, load=Load(1, 9))
+    "host-1", "sofia-1", "10.0.0.1:80", "10.0.0.1:81", 5, 6, load=Load(1, 9)
+)
+STAMP = Stamp(7, 8)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Heartbeat(MEMBER, STAMP, (MEMBER,), (Strike("f", "*", "catalogue.1"),)),
+        WantObjects(MEMBER, STAMP, 12),
+        GiveObjects(MEMBER, STAMP, 9, (CarriedObject("config/a", 9, b'{"a":[1]}'),)),
+    ],
+)
+def test_message_comes_back_from_the_wire(message):
+    assert from_pack(to_pack(message), PeerMessage).ok == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        to_pack({"type": "Heartbeat"}),
+        to_pack({"type": "Unknown"}),
+        to_pack([1, 2]),
+        to_pack(WantObjects(MEMBER, STAMP, 12))[:-1],
+        to_pack({"type": "WantObjects", "sender": 1, "stamp": 2, "after": "x"}),
+    ],
+)
+def test_malformed_message_is_an_error_value(data):
+    assert from_pack(data, PeerMessage).is_error()
--- a/packages/core/crocusbay/state/deployment.py
+++ b/packages/core/crocusbay/state/deployment.py
@@ -53,6 +53,7 @@
 
     name: str
     places: tuple[str, ...]
+    hosts: int
     policy: Policy
     services: tuple[Service, ...]
     questionnaire: str = ""
--- a/packages/core/crocusbay/state/questionnaire.py
+++ b/packages/core/crocusbay/state/questionnaire.py
@@ -50,6 +50,9 @@
     "revision": Field(
         read_count(0, 2**53), "the revision that this questionnaire revises, 0 if none"
     ),
+    "hosts": Field(
+        read_count(1, 10_000), "hosts that share the servers' connections, 1 to 10000"
+    ),
     "weigh_most": Field(read_choice(*_WEIGHINGS), "latency or coverage"),
     "answer_within_ms": Field(read_number(1, 60_000), "milliseconds from 1 to 60000"),
     "extra_load_percent": Field(read_number(0, 100), "a percentage from 0 to 100"),
@@ -107,6 +110,7 @@
     deployment = Deployment(
         name=general["name"],
         places=places["names"],
+        hosts=general["hosts"],
         policy=_generate_policy(general),
         services=tuple(services),
         questionnaire=text,
@@ -187,6 +191,8 @@
     if old is None:
         return (f"new deployment {new.name} with {len(new.services)} services",)
     lines = _compare_fields("policy", old.policy, new.policy)
+    if old.hosts != new.hosts:
+        lines.append(f"hosts: {old.hosts} -> {new.hosts}")
     if old.places != new.places:
         lines.append(f"places: {', '.join(old.places)} -> {', '.join(new.places)}")
     for name in sorted(old.by_service.keys() - new.by_service.keys()):
--- a/packages/core/crocusbay/state/template.py
+++ b/packages/core/crocusbay/state/template.py
@@ -9,6 +9,8 @@
 name = {name}
 ; Revision that this questionnaire revises; 0 for a new deployment.
 revision = 0
+; Hosts that share the connections of each server.
+hosts = 7
 ; What matters most when not everything can be had: latency or coverage.
 weigh_most = latency
 ; Answers are due within this time, even if they are partial.
--- a/packages/standins/crocusbay_standins/tests/world.py
+++ b/packages/standins/crocusbay_standins/tests/world.py
@@ -55,7 +55,8 @@
         Service("orders", ServiceKind.ORDER, 3, 6, 100, 0.0),
     ]
     places = ("sofia-1", "sofia-2", "sofia-3")
-    return Deployment("hemtape", places, Policy(**{**values, **policy}), services)
+    policy = Policy(**{**values, **policy})
+    return Deployment("hemtape", places, 3, policy, tuple(services))
 
 
 def make_snapshot(deployment, version, move=0):
