--- a/packages/core/crocusbay/coordination/replication.py
+++ b/packages/core/crocusbay/coordination/replication.py
@@ -16,6 +16,7 @@
 WATCHERS_PER_PLACE = 2
 POLL_SECONDS = 20.0
 LIST_SECONDS = 5.0
+LIST_ALONE_SECONDS = 1.0
 RECHECK_SECONDS = 2.0
 BACKOFF_FIRST_SECONDS = 0.2
 BACKOFF_MAX_SECONDS = 5.0
@@ -64,8 +65,8 @@
             self._count("hosts", hosts.is_ok())
             if hosts.is_ok():
                 self._membership.take_list(hosts.ok.hosts)
-            spread = random.uniform(0.8, 1.2)
-            await self._context.timers.sleep(LIST_SECONDS * spread)
+            pause = LIST_SECONDS if self._membership.live else LIST_ALONE_SECONDS
+            await self._context.timers.sleep(pause * random.uniform(0.8, 1.2))
 
     async def _wait_as_follower(self) -> None:
         waited = 0.0
--- a/packages/core/crocusbay/protocol/tests/test_peer.py
+++ b/packages/core/crocusbay/protocol/tests/test_peer.py
@@ -11,7 +11,7 @@
 )
 from crocusbay.state import Load, Member, Stamp
 
-MEMBER = Member("host-1", "sofia-1", "10.0.0.1:80", "10.0.0.1:81", 5, load=Load(1, 9))
+MEMBER = Member(
     "host-1", "sofia-1", "10.0.0.1:80", "10.0.0.1:81", 5, 6, load=Load(1, 9)
 )
 STAMP = Stamp(7, 8)
--- a/packages/standins/crocusbay_standins/lab.py
+++ b/packages/standins/crocusbay_standins/lab.py
@@ -32,6 +32,7 @@
 DOCUMENTS_PER_SHARD = 400
 STOP_SECONDS = 20.0
 CALL_SECONDS = 10.0
+SHOWN_LOG_CHARS = 2_000
 
 
 @dataclass
@@ -40,8 +41,17 @@
 
     name: str
     process: subprocess.Popen
+    log: Path
     announced: dict[str, Any] = field(default_factory=dict)
 
+    def wait_started(self) -> None:
+        """Read the addresses that the process announces; raise if it ended."""
+        line = self.process.stdout.readline()
+        if not line:
+            tail = self.log.read_text()[-SHOWN_LOG_CHARS:]
+            raise RuntimeError(f"{self.name} did not start: {tail}")
+        self.announced = json.loads(line)
+
     def kill(self) -> None:
         """End the process at once."""
         self.process.kill()
@@ -80,14 +90,18 @@
 
     def start(self) -> None:
         """Start the platform, the upstreams and the hosts, in this order."""
-        self.platform = self._start("platform", "-m", "crocusbay_standins.platform")
+        self.platform = self._launch("platform", "-m", "crocusbay_standins.platform")
         for number in range(self.setup.upstream_processes):
-            self.upstreams.append(self._start_upstreams(number))
+            self.upstreams.append(self._launch_upstreams(number))
+        for program in (self.platform, *self.upstreams):
+            program.wait_started()
         self.publish_index(make_snapshot(self.deployment, 1))
         self.put(upstreams_key(self.deployment.name), self._upstream_status())
         self.put(config_key(self.deployment.name), self.deployment)
         for number in range(self.setup.hosts):
-            self.start_host(f"host-{number + 1}", number)
+            self._launch_host(f"host-{number + 1}", number)
+        for program in self.host_by_name.values():
+            program.wait_started()
         self.list_hosts()
 
     def close(self) -> None:
@@ -100,11 +114,16 @@
         self._folder.cleanup()
 
     def start_host(self, name: str, number: int) -> Program:
-        """Start one host with its settings file."""
+        """Start one host that knows two others, and wait until it serves."""
+        program = self._launch_host(name, number)
+        program.wait_started()
+        return program
+
+    def _launch_host(self, name: str, number: int) -> Program:
         settings = Path(self._folder.name) / f"{name}.ini"
         settings.write_text(self._host_settings(name, number))
         code = "from crocusbay_host.main import main; main()"
-        self.host_by_name[name] = self._start(name, "-c", code, str(settings))
+        self.host_by_name[name] = self._launch(name, "-c", code, str(settings))
         return self.host_by_name[name]
 
     def host_url(self, name: str) -> str:
@@ -160,7 +179,7 @@
             merged.update(self.control(program, what, value) or {})
         return merged
 
-    def _start(self, name: str, *arguments: str) -> Program:
+    def _launch(self, name: str, *arguments: str) -> Program:
         log = Path(self._folder.name) / f"{name}.log"
         with log.open("ab") as log_file:
             process = subprocess.Popen(
@@ -169,18 +188,15 @@
                 stderr=log_file,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
-        line = process.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{name} did not start: {log.read_text()[-2000:]}")
-        return Program(name, process, json.loads(line))
+        return Program(name, process, log)
 
-    def _start_upstreams(self, number: int) -> Program:
+    def _launch_upstreams(self, number: int) -> Program:
         planned = plan_servers(self.deployment)
         mine = planned[number :: self.setup.upstream_processes]
         plan = Plan(f"upstreams-{number + 1}", self.setup.model, tuple(mine))
         plan_file = Path(self._folder.name) / f"{plan.process}.json"
         plan_file.write_bytes(to_json(plan))
-        return self._start(
+        return self._launch(
             plan.process, "-m", "crocusbay_standins.upstreams", str(plan_file)
         )
 
@@ -201,7 +217,8 @@
         return self.deployment.places[number % len(self.deployment.places)]
 
     def _host_settings(self, name: str, number: int) -> str:
-        seeds = [p.announced["peer_address"] for p in self.host_by_name.values()]
+        started = [p.announced for p in self.host_by_name.values() if p.announced]
+        seeds = [announced["peer_address"] for announced in started]
         return (
             f"[host]\nname = {name}\nplace = {self._place(number)}\n"
             f"[callers]\naddress = 127.0.0.1:0\n"
