--- /dev/null
+++ b/packages/standins/crocusbay_standins/demo.py
@@ -0,0 +1,184 @@
+"""Demo: a deployment on one machine, from the first question to a lost host."""
+
+import json
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import httpx
+from click.testing import CliRunner
+
+from crocusbay_command.main import main as crocusbay
+from crocusbay_standins.lab import Lab, LabSetup, running_lab
+from crocusbay_standins.load import load_deployment
+
+HOSTS = 3
+SEARCHES = 5
+SEARCH_SECONDS = 5.0
+READY_SECONDS = 20.0
+
+
+class Demo:
+    """Show the path of requests through a lab."""
+
+    def __init__(self, lab: Lab) -> None:
+        self._lab = lab
+        self._name = lab.deployment.name
+        self._answers: list[dict[str, Any]] = []
+        self._failures = 0
+
+    def run(self) -> None:
+        """Show each step."""
+        self._wait_ready()
+        self._show_entry()
+        self._show_searches()
+        self._show_document()
+        order = self._show_order()
+        self._show_lost_host()
+        self._show_operators(order["request"])
+
+    def _wait_ready(self) -> None:
+        limit = time.monotonic() + READY_SECONDS
+        while len(self._entry("host-1")) < HOSTS:
+            if time.monotonic() > limit:
+                raise RuntimeError("the hosts did not find each other")
+            time.sleep(0.05)
+
+    def _entry(self, host: str) -> list[str]:
+        url = f"{self._lab.host_url(host)}/entry"
+        return self._lab.http.get(url).json()["addresses"]
+
+    def _url(self, host: str, path: str) -> str:
+        return f"{self._lab.host_url(host)}/deployments/{self._name}{path}"
+
+    def _show_entry(self) -> None:
+        _title("Which addresses may a caller use?")
+        click.echo("  ".join(self._entry("host-1")))
+
+    def _show_searches(self) -> None:
+        _title("Searches over every shard")
+        for number in range(SEARCHES):
+            url = self._url("host-1", f"/search?q=tank-{number}")
+            _show_answer(self._lab.http.get(url).json())
+
+    def _show_document(self) -> None:
+        _title("A document")
+        url = self._url("host-2", "/services/fitter/documents/tank-17")
+        click.echo(self._lab.http.get(url).text)
+
+    def _show_order(self) -> dict[str, Any]:
+        _title("An order, and the same order sent again to another host")
+        path = "/services/order-record/orders/demo-1"
+        first = self._lab.http.post(self._url("host-1", path), json={"tanks": 2})
+        again = self._lab.http.post(self._url("host-2", path), json={"tanks": 2})
+        runs = self._lab.control_upstreams("orders").values()
+        click.echo(first.text)
+        click.echo(again.text)
+        click.echo(f"runs: {sum(each.get('demo-1', 0) for each in runs)}")
+        return first.json()
+
+    def _show_lost_host(self) -> None:
+        _title("Searches while host-3 is killed")
+        killer = threading.Timer(
+            SEARCH_SECONDS / 2, self._lab.host_by_name["host-3"].kill
+        )
+        killer.start()
+        self._search_as_caller(time.monotonic() + SEARCH_SECONDS)
+        killer.join()
+        del self._lab.host_by_name["host-3"]
+        complete = sum(answer["is_complete"] for answer in self._answers)
+        click.echo(
+            f"{len(self._answers)} answers, {complete} complete; "
+            f"{self._failures} connections failed and went to the next address"
+        )
+
+    def _search_as_caller(self, until: float) -> None:
+        """Search through the addresses in turn, as callers do."""
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            for address in self._entry("host-1")[number % 2 :]:
+                path = f"/deployments/{self._name}/search?q=tank-{number}"
+                try:
+                    answer = self._lab.http.get(f"http://{address}{path}")
+                except httpx.HTTPError:
+                    self._failures += 1
+                    continue
+                self._answers.append(answer.json())
+                break
+
+    def _show_operators(self, request: str) -> None:
+        host = self._lab.host_by_name["host-1"].announced["caller_address"]
+        platform = self._lab.platform.announced["address"]
+        also = [platform, *(p.announced["control"] for p in self._lab.upstreams)]
+        _title("crocusbay status")
+        _operate("status", "--host", host)
+        self._show_change(platform)
+        _title("crocusbay timeline --request (the order)")
+        asked = ["timeline", "--host", host]
+        for address in also:
+            asked += ["--also", address]
+        _operate(*asked, "--request", request)
+        _title("crocusbay timeline (what happened to hosts and configuration)")
+        _operate(*asked, wanted=("member-", "host-started", "object-written"))
+
+    def _show_change(self, platform: str) -> None:
+        """Revise the questionnaire in force, and put it in force."""
+        _title("crocusbay plan and apply: answers within 200 ms")
+        shown = ("questionnaire", "show", self._name, "--platform", platform)
+        text = CliRunner().invoke(crocusbay, shown).stdout
+        with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+            file.write(text.replace("answer_within_ms = 250", "answer_within_ms = 200"))
+            file.flush()
+            _operate("plan", file.name, "--platform", platform)
+            author = ("--author", "day shift", "--note", "crews wait less")
+            _operate("apply", file.name, "--platform", platform, *author)
+        _title("crocusbay history")
+        _operate("history", self._name, "--platform", platform)
+
+
+def _title(text: str) -> None:
+    click.echo()
+    click.secho(text, bold=True)
+
+
+def _show_answer(answer: dict[str, Any]) -> None:
+    coverage = answer["coverage"]
+    shown = {
+        "snapshot": answer["snapshot"],
+        "shards": f"{coverage['shards_answered']}/{coverage['shards_total']}",
+        "documents": f"{coverage['documents_answered']}/{coverage['documents_total']}",
+        "missing": [each["service"] for each in coverage["missing"]],
+        "hits": len(answer["hits"]),
+        "elapsed_ms": answer["elapsed_ms"],
+        "deadline_ms": answer["deadline_ms"],
+    }
+    click.echo(json.dumps(shown))
+
+
+def _operate(*arguments: str, wanted: tuple[str, ...] = ("",)) -> None:
+    """Run the operators' command and show the lines that hold a wanted text."""
+    for line in CliRunner().invoke(crocusbay, arguments).output.splitlines():
+        if any(text in line for text in wanted):
+            click.echo(line)
+
+
+@click.command()
+@click.option(
+    "--questionnaire",
+    type=click.Path(path_type=Path),
+    default=Path("questionnaires/destovka.ini"),
+)
+def main(questionnaire: Path) -> None:
+    """Show a deployment of three hosts on this machine, and end."""
+    started = time.monotonic()
+    with running_lab(LabSetup(load_deployment(questionnaire), HOSTS)) as lab:
+        Demo(lab).run()
+    click.echo(f"\nended after {time.monotonic() - started:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/crocusbay_standins/tests/test_handover.py
@@ -0,0 +1,122 @@
+import os
+import signal
+import time
+from dataclasses import replace
+
+import anyio
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from crocusbay.coordination.change import Accepted, Refused, apply_change, make_change
+from crocusbay.state import HybridClock
+from crocusbay.transport import PlatformClient
+from crocusbay_standins.lab import LabSetup, running_lab
+from crocusbay_standins.platform import Faults, Outage
+from crocusbay_standins.tests.conftest import CALM
+from crocusbay_standins.tests.world import make_deployment
+
+scenarios("features/handover.feature")
+
+FIRST_REVISION = 3
+KEEP_SECONDS = 2.0
+
+
+@pytest.fixture
+def lab():
+    with running_lab(LabSetup(make_deployment(), 3, 1, CALM)) as lab:
+        yield lab
+
+
+def apply(lab, author, revision, milliseconds):
+    policy = replace(lab.deployment.policy, deadline=milliseconds / 1000)
+    text = f"{milliseconds}"
+    deployment = replace(lab.deployment, policy=policy, questionnaire=text)
+    change = make_change(deployment, revision, author, "", "2026-12-04T08:00:00")
+
+    async def run():
+        client = PlatformClient(lab.platform.announced["address"], HybridClock())
+        try:
+            return await apply_change(client, deployment, revision, change)
+        finally:
+            await client.close()
+
+    return anyio.run(run)
+
+
+def deadlines(lab):
+    found = []
+    for host in lab.host_by_name:
+        url = f"{lab.host_url(host)}/deployments/hemtape/search?q=a"
+        found.append(lab.http.get(url).json().get("deadline_ms"))
+    return found
+
+
+def wait_for(lab, milliseconds, seconds):
+    limit = time.monotonic() + seconds
+    while set(deadlines(lab)) != {milliseconds}:
+        assert time.monotonic() < limit
+        time.sleep(0.02)
+
+
+@given("three hosts that serve the deployment")
+def serving(lab):
+    wait_for(lab, 5000, 20)
+
+
+@given("the platform loses the answer to the next write")
+def lose_answer(lab):
+    lab.control(lab.platform, "faults", Faults(lose_answers=1))
+
+
+@given(parsers.parse("the day shift has applied a deadline of {milliseconds:d} ms"))
+def applied(lab, milliseconds):
+    apply_in_time(lab, milliseconds)
+    wait_for(lab, milliseconds, 5)
+
+
+@when(parsers.parse("the day shift applies a deadline of {milliseconds:d} ms"))
+def apply_in_time(lab, milliseconds):
+    result = apply(lab, "day", FIRST_REVISION, milliseconds)
+    assert isinstance(result, Accepted)
+
+
+@when("the platform refuses all calls")
+def outage(lab):
+    lab.control(lab.platform, "faults", Faults(outage=Outage.REFUSE))
+
+
+@when("a host is killed")
+def kill(lab):
+    lab.host_by_name.pop("host-2").kill()
+
+
+@when("a host is frozen and wakes up")
+def freeze(lab):
+    process = lab.host_by_name["host-2"].process
+    os.kill(process.pid, signal.SIGSTOP)
+    time.sleep(1.0)
+    os.kill(process.pid, signal.SIGCONT)
+
+
+@when("the night shift applies an older questionnaire")
+def apply_older(lab):
+    result = apply(lab, "night", FIRST_REVISION, 700)
+    assert isinstance(result, Refused)
+    assert result.changes[0].author == "day"
+
+
+@then(parsers.parse("every host that runs keeps a deadline of {milliseconds:d} ms"))
+def kept(lab, milliseconds):
+    until = time.monotonic() + KEEP_SECONDS
+    while time.monotonic() < until:
+        assert set(deadlines(lab)) == {milliseconds}
+
+
+@then(
+    parsers.parse(
+        "every host that runs has a deadline of {milliseconds:d} ms "
+        "within {seconds:d} seconds"
+    )
+)
+def in_force(lab, milliseconds, seconds):
+    wait_for(lab, milliseconds, seconds)
