Survive silent connections and lost servers without lost coverage

Cause, by the load tool's troubles and a new view of upstreams: - When several requests waited for a dead server, its connects failed one after the other, each found another under way, opened a new one and failed nothing: 5,381 connects to one server in 6 s, its requests stuck until their deadline. - Retries after refused connects spent the retry budget, although they add no load to any upstream. - With all connections silent, hedges went to other silent connections, and none was due before the first answer.

Ruled out: a hung connect (the view showed connects failing at once) and the server's accept queue; closing idle connections at each hedge (one hedge in 50 requests would cost a new connection of 6 ms).

Change: a failed connect fails what waits unless a connection is open, and new connects pause 0.1 s. A retry after an attempt that reached no upstream is free. At a quarter of the deadline, legs without an answer try a new connection (canary) within a budget of 0.5%; when that answers, the old connections not heard since are closed. Extra load counts what was sent, over what was needed. The load tool causes troubles; hosts show their upstreams.

Five tests were red before and pass now.

--- a/packages/core/crocusbay/coordination/metrics.py
+++ b/packages/core/crocusbay/coordination/metrics.py
@@ -44,7 +44,7 @@
         )
         self.sub_requests = self._counter(
             "crocusbay_sub_requests",
-            "Requests to upstreams by reason; primary is the least needed",
+            "Requests to upstreams by reason; needed is the least there could be",
             "deployment",
             "reason",
         )
--- a/packages/core/crocusbay/coordination/order.py
+++ b/packages/core/crocusbay/coordination/order.py
@@ -146,6 +146,7 @@
             is_idempotent=False,
             patience=LATE_ANSWER_SECONDS,
         )
+        runtime.count("needed")
         tried: set[str] = set()
         verdict: Verdict = NotRun(Cause.DEADLINE)
         while self._context.timers.now() < order.deadline:
--- a/packages/core/crocusbay/coordination/runtime.py
+++ b/packages/core/crocusbay/coordination/runtime.py
@@ -18,6 +18,8 @@
 )
 
 BUDGET_BURST = 50.0
+CANARY_RATIO = 0.005
+CANARY_BURST = 100.0
 LACKING_SECONDS = 0.25
 
 
@@ -34,6 +36,7 @@
         self.servers_by_service: dict[str, list[Server]] = {}
         self.hedges = Budget(deployment.policy.hedge_ratio, BUDGET_BURST)
         self.retries = Budget(deployment.policy.retry_ratio, BUDGET_BURST)
+        self.canaries = Budget(CANARY_RATIO, CANARY_BURST)
         self._lacking_until_by_version: dict[int, float] = {}
         self._status = UpstreamStatus()
         self._hosts = 1
@@ -105,6 +108,11 @@
         servers = self.servers_by_service.get(service, ())
         return any(not server.is_leaving for server in servers)
 
+    def drop_unheard(self, since: float) -> None:
+        """Close every connection to upstreams not heard since the moment given."""
+        for server in self.servers_by_name.values():
+            server.pool.drop_unheard(since)
+
     def count(self, reason: str, requests: int = 1) -> None:
         """Count requests to upstreams."""
         self.context.metrics.sub_requests.labels(self.name, reason).inc(requests)
--- a/packages/core/crocusbay/coordination/scatter.py
+++ b/packages/core/crocusbay/coordination/scatter.py
@@ -18,15 +18,39 @@
 UNKNOWN_LATENCY_SECONDS = 0.02
 RETRY_PAUSE_SECONDS = 0.02
 CANCEL_DEADLINE_SECONDS = 0.5
+STALL_SHARE_OF_DEADLINE = 0.25
+CANARIES = 2
+
+# Failures after which a retry adds no load to upstreams: the attempt did not reach
+# one, or it went on a connection that was silent, which happens once a connection.
+_FREE_TO_RETRY = frozenset(
+    {
+        Cause.CONNECT_FAILED,
+        Cause.DRAINING,
+        Cause.LEAVING,
+        Cause.NO_CONNECTION,
+        Cause.SILENT,
+    }
+)
 
 
 class Reason(StrEnum):
-    """Name why a request goes upstream."""
+    """Name why a request goes upstream; NEEDED counts the least there could be."""
 
+    NEEDED = "needed"
     PRIMARY = "primary"
     RETRY = "retry"
     HEDGE = "hedge"
     CANCEL = "cancel"
+    CANARY = "canary"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Describe one attempt of a leg at a server."""
+
+    server: Server
+    reason: Reason
 
 
 @dataclass(slots=True, eq=False)
@@ -38,7 +62,8 @@
     verdict: Verdict | None = None
     last_failure: Verdict | None = None
     tried: set[str] = field(default_factory=set)
-    open: dict[Exchange, Server] = field(default_factory=dict)
+    open: dict[Exchange, "Attempt"] = field(default_factory=dict)
+    retry_pause: float = RETRY_PAUSE_SECONDS
     is_held: bool = False
     has_hedged: bool = False
 
@@ -85,6 +110,9 @@
         self._pending = len(legs)
         self._answers = 0
         self._deferred_hedges: list[Leg] = []
+        self._started_at = self._timers.now()
+        patience = job.deadline - self._started_at
+        self._canaries_at = self._started_at + STALL_SHARE_OF_DEADLINE * patience
 
     async def run(self) -> None:
         """Fill the verdict of each leg by the deadline."""
@@ -102,18 +130,23 @@
         self.is_stopped = True
 
     def _start_all(self) -> None:
-        self._runtime.count(Reason.PRIMARY, len(self.legs))
+        self._runtime.count(Reason.NEEDED, len(self.legs))
         self._runtime.hedges.earn(len(self.legs))
+        self._runtime.canaries.earn(len(self.legs))
         self._runtime.retries.earn(len(self.legs))
         for leg in self.legs:
             self._start(leg, Reason.PRIMARY)
 
     async def _step(self) -> None:
         next_due = self._due[0][0] if self._due else self._job.deadline
-        items = await self._mailbox.take_until(min(next_due, self._job.deadline))
-        for leg, server, exchange, verdict in items:
-            self._take(leg, server, exchange, verdict)
+        next_due = min(next_due, self._canaries_at, self._job.deadline)
+        items = await self._mailbox.take_until(next_due)
+        for leg, attempt, exchange, verdict in items:
+            self._take(leg, attempt, exchange, verdict)
         now = self._timers.now()
+        if now >= self._canaries_at:
+            self._canaries_at = self._job.deadline
+            self._send_canaries()
         while self._due and self._due[0][0] <= now:
             _, _, leg, reason = heapq.heappop(self._due)
             self._run_due(leg, reason)
@@ -125,12 +158,10 @@
             return False
         server = self._runtime.choose(leg.service, frozenset(leg.tried))
         if server is None:
-            if reason is not Reason.HEDGE:
+            if reason in (Reason.PRIMARY, Reason.RETRY):
                 self._wait_for_server(leg)
             return False
         leg.tried.add(server.upstream.name)
-        if reason is not Reason.PRIMARY:
-            self._runtime.count(reason)
         sub = SubRequest(
             self._job.request,
             "GET",
@@ -139,9 +170,14 @@
             snapshot=self._job.snapshot,
         )
         self._schedule_hedge(leg, server)
-        exchange = server.send(sub, lambda s, e, v: self._mailbox.put((leg, s, e, v)))
+        attempt = Attempt(server, reason)
+        exchange = server.send(
+            sub,
+            lambda _, e, v: self._mailbox.put((leg, attempt, e, v)),
+            is_fresh=reason is Reason.CANARY,
+        )
         if not exchange.is_done:
-            leg.open[exchange] = server
+            leg.open[exchange] = attempt
         return True
 
     def _wait_for_server(self, leg: Leg) -> None:
@@ -152,7 +188,8 @@
         if leg.open:
             return
         leg.tried.clear()
-        self._schedule(RETRY_PAUSE_SECONDS, leg, Reason.RETRY)
+        self._schedule(leg.retry_pause, leg, Reason.RETRY)
+        leg.retry_pause *= 2
 
     def _schedule(self, delay: float, leg: Leg, reason: Reason) -> None:
         when = self._timers.now() + delay
@@ -189,27 +226,53 @@
         if self._start(leg, Reason.HEDGE):
             self._record(EventKind.HEDGE, leg.service)
 
+    def _send_canaries(self) -> None:
+        """Try new connections for the legs whose old ones may have gone silent.
+
+        Two suffice while no server has answered at all: if they are answered, every
+        old connection is closed.
+        """
+        late = [leg for leg in self.legs if leg.verdict is None and leg.open]
+        if not self._answers:
+            late = late[:CANARIES]
+        for leg in late:
+            if not self._runtime.canaries.spend():
+                return
+            leg.tried.clear()
+            self._start(leg, Reason.CANARY)
+
+    def _drop_silent(self, leg: Leg) -> None:
+        """Close the connections that stayed unheard while a new one answered."""
+        if not self._answers:
+            self._runtime.drop_unheard(self._started_at)
+        for attempt in list(leg.open.values()):
+            attempt.server.pool.drop_unheard(self._started_at)
+
     def _retry(self, leg: Leg) -> None:
-        if not self._runtime.retries.spend():
+        is_free = leg.last_failure and leg.last_failure.cause in _FREE_TO_RETRY
+        if not is_free and not self._runtime.retries.spend():
             self._resolve(leg, leg.last_failure or NotRun(Cause.OVERLOAD))
             return
         if self._start(leg, Reason.RETRY):
             self._record(EventKind.RETRY, leg.service)
 
     def _take(
-        self, leg: Leg, server: Server, exchange: Exchange, verdict: Verdict
+        self, leg: Leg, attempt: Attempt, exchange: Exchange, verdict: Verdict
     ) -> None:
         leg.open.pop(exchange, None)
+        self._count_sent(attempt, exchange)
         if leg.verdict is not None:
             return
         if isinstance(verdict, Ran):
+            if attempt.reason is Reason.CANARY:
+                self._drop_silent(leg)
             self._clear_suspicion(leg)
             cause = self._accept(leg, verdict.answer)
             if cause is None:
                 self._resolve(leg, verdict)
                 return
             verdict = NotRun(cause)
-        self._fail_attempt(leg, server, verdict)
+        self._fail_attempt(leg, attempt.server, verdict)
 
     def _fail_attempt(self, leg: Leg, server: Server, verdict: Verdict) -> None:
         if leg.last_failure is None or verdict.cause is not Cause.DEADLINE:
@@ -280,7 +343,9 @@
         A new connection is not wasted: the next request needs it while the old one
         waits for the answer.
         """
-        for exchange, server in leg.open.items():
+        for exchange, attempt in leg.open.items():
+            self._count_sent(attempt, exchange)
+            server = attempt.server
             was_sent = exchange.is_sent
             server.abandon(exchange)
             if was_sent and server.pool.has_room:
@@ -288,6 +353,10 @@
                 server.pool.submit(Exchange(self._cancel_request(), _ignore))
         leg.open.clear()
 
+    def _count_sent(self, attempt: Attempt, exchange: Exchange) -> None:
+        if exchange.is_sent:
+            self._runtime.count(attempt.reason)
+
     def _cancel_request(self) -> SubRequest:
         return SubRequest(
             f"{self._job.request}.cancel",
--- a/packages/core/crocusbay/coordination/server.py
+++ b/packages/core/crocusbay/coordination/server.py
@@ -55,11 +55,19 @@
         queue = 1.0 + self.in_flight / self.service.slots
         return self.latency.expected(self._now()) * queue * random.uniform(0.9, 1.1)
 
-    def send(self, sub: SubRequest, on_verdict: OnVerdict) -> Exchange:
-        """Send a sub-request; the verdict arrives once, by the callback."""
+    def send(
+        self, sub: SubRequest, on_verdict: OnVerdict, *, is_fresh: bool = False
+    ) -> Exchange:
+        """Send a sub-request; the verdict arrives once, by the callback.
+
+        A fresh one goes on a new connection.
+        """
         exchange = Exchange(sub, lambda done, v: self._finish(done, v, on_verdict))
         self.in_flight += 1
-        self.pool.submit(exchange)
+        if is_fresh:
+            self.pool.submit_fresh(exchange)
+        else:
+            self.pool.submit(exchange)
         return exchange
 
     def abandon(self, exchange: Exchange) -> None:
--- a/packages/core/crocusbay/protocol/caller.py
+++ b/packages/core/crocusbay/protocol/caller.py
@@ -68,6 +68,24 @@
     expected: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamView:
+    """Show one upstream server as a host sees it (milliseconds)."""
+
+    name: str
+    service: str
+    place: str
+    is_up: bool
+    is_leaving: bool
+    latency_ms: float
+    in_flight: int
+    waiting: int
+    connections: int
+    connecting: int
+    share: int
+    closed_by_cause: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """Show one host: revision in force, load, members and upstreams it sees."""
--- a/packages/core/crocusbay/transport/pool.py
+++ b/packages/core/crocusbay/transport/pool.py
@@ -12,6 +12,7 @@
 from crocusbay.transport.timers import TimerService
 
 MAX_WAITING = 32
+CONNECT_PAUSE_SECONDS = 0.1
 PROOF_SECONDS = 1.0
 PING_DEADLINE_SECONDS = 0.15
 PING_TARGET = "/health"
@@ -36,9 +37,11 @@
         self._timers = timers
         self._clock = clock
         self._waiting: deque[Exchange] = deque()
+        self._waiting_fresh: deque[Exchange] = deque()
         self._idle: list[UpstreamConnection] = []
         self._connections: set[UpstreamConnection] = set()
         self._connecting = 0
+        self._connect_after = 0.0
         self._closed = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -47,6 +50,16 @@
         """Return the number of connections open or being opened."""
         return len(self._connections)
 
+    @property
+    def connecting(self) -> int:
+        """Return the number of connections being opened."""
+        return self._connecting
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of exchanges that wait for a connection."""
+        return len(self._waiting) + len(self._waiting_fresh)
+
     @property
     def has_room(self) -> bool:
         """Return whether a connection is free or may be opened."""
@@ -70,13 +83,30 @@
         self._waiting.append(exchange)
         self._pump()
 
+    def submit_fresh(self, exchange: Exchange) -> None:
+        """Send an exchange on a new connection, in place of an idle one if need be."""
+        if self._tasks is None or self._closed.is_set():
+            exchange.fail(Cause.LEAVING)
+            return
+        if len(self._connections) >= self.share and self._idle:
+            self._drop_idle()
+        if len(self._connections) >= self.share:
+            self.submit(exchange)
+            return
+        self._waiting_fresh.append(exchange)
+        self._open_connection()
+
+    def drop_unheard(self, since: float) -> None:
+        """Close the connections that were in use or idle and not heard since then."""
+        for connection in list(self._connections):
+            if connection.answers and connection.last_heard < since:
+                connection.close(Cause.SILENT)
+
     def set_share(self, share: int) -> None:
         """Change how many connections may be open; close idle ones beyond it."""
         self.share = share
         while self._idle and len(self._connections) > share:
-            connection = self._idle.pop()
-            self._connections.discard(connection)
-            connection.close(Cause.CANCELLED)
+            self._drop_idle()
 
     def close_if_overdue(self, exchange: Exchange) -> None:
         """Close the connection that still waits for an answer when it is overdue."""
@@ -102,6 +132,9 @@
             self._assign(self._idle.pop(), exchange)
         if self._tasks is None or self._closed.is_set():
             return
+        if self._timers.now() < self._connect_after:
+            self._fail_unconnected(Cause.CONNECT_FAILED)
+            return
         while (
             self._connecting < len(self._waiting)
             and len(self._connections) < self.share
@@ -159,8 +192,8 @@
             self._idle.remove(connection)
         if failure:
             self._connecting -= 1
-            if not self._connections:
-                self._fail_waiting(failure)
+            self._connect_after = self._timers.now() + CONNECT_PAUSE_SECONDS
+            self._fail_unconnected(failure)
         cause = failure or connection.close_cause
         self.closed_by_cause[cause] = self.closed_by_cause.get(cause, 0) + 1
         self._pump()
@@ -168,6 +201,8 @@
     def _on_idle(self, connection: UpstreamConnection) -> None:
         if connection.answers == 0:
             self._connecting -= 1
+            if self._assign_fresh(connection):
+                return
         if connection.is_closing:
             return
         if self._closed.is_set() or len(self._connections) > self.share:
@@ -176,12 +211,37 @@
         self._idle.append(connection)
         self._pump()
 
+    def _assign_fresh(self, connection: UpstreamConnection) -> bool:
+        while self._waiting_fresh:
+            exchange = self._waiting_fresh.popleft()
+            if not exchange.is_done:
+                self._assign(connection, exchange)
+                return True
+        return False
+
+    def _drop_idle(self) -> None:
+        connection = self._idle.pop()
+        self._connections.discard(connection)
+        connection.close(Cause.CANCELLED)
+
     def _close_stuck(self, exchange: Exchange) -> None:
         for connection in list(self._connections):
             if connection.current is exchange:
                 connection.close(Cause.SILENT)
 
+    def _fail_unconnected(self, cause: Cause) -> None:
+        """Fail what waits for a connection when none is open, not even an old one."""
+        if self._connecting == 0:
+            self._fail_fresh(cause)
+        if len(self._connections) == self._connecting:
+            self._fail_waiting(cause)
+
+    def _fail_fresh(self, cause: Cause) -> None:
+        while self._waiting_fresh:
+            self._waiting_fresh.popleft().finish(NotRun(cause))
+
     def _fail_waiting(self, cause: Cause) -> None:
+        self._fail_fresh(cause)
         waiting, self._waiting = self._waiting, deque()
         for exchange in waiting:
             exchange.finish(NotRun(cause))
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -118,6 +118,20 @@
         assert await caller.verdict() == NotRun(Cause.CONNECT_FAILED)
 
 
+async def test_requests_to_a_dead_server_all_fail_without_a_storm_of_connects():
+    async with running_pool("127.0.0.1:1", share=3) as (pool, timers):
+        caller = Caller(pool, timers)
+        for number in range(10):
+            caller.send(f"r{number}")
+            await anyio.sleep(0)
+        for number in range(10):
+            verdict = await caller.verdict(f"r{number}")
+            assert verdict == NotRun(Cause.CONNECT_FAILED)
+        await anyio.sleep(0.05)
+        assert pool.closed_by_cause[Cause.CONNECT_FAILED] <= 10
+        assert pool.connecting == 0
+
+
 async def test_connection_is_reused_after_a_late_answer():
     async with (
         scripted_server(reply(body=b"1"), reply(body=b"2")) as server,
--- a/packages/host/crocusbay_host/app.py
+++ b/packages/host/crocusbay_host/app.py
@@ -44,7 +44,7 @@
     Verdict,
     parse_stamp,
 )
-from crocusbay_host.host import Host
+from crocusbay_host.host import Host, view_upstreams
 from crocusbay_host.request import (
     CallerGone,
     CallerRequest,
@@ -135,6 +135,8 @@
                 return self._timeline(request)
             case "GET", ("metrics",):
                 return self._metrics()
+            case "GET", ("deployments", name, "upstreams"):
+                return _json(view_upstreams(self._runtime(name)))
             case "GET", ("deployments", name, "search"):
                 return await self._search(request, receive, request_id, name)
             case "GET", ("deployments", name, "services", service, "documents", doc):
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -21,7 +21,7 @@
     order_entries,
 )
 from crocusbay.protocol import from_json
-from crocusbay.protocol.caller import EntryAnswer, HostStatus
+from crocusbay.protocol.caller import EntryAnswer, HostStatus, UpstreamView
 from crocusbay.protocol.platform import StoredObject
 from crocusbay.state import (
     Deployment,
@@ -221,3 +221,24 @@
         runtime = self.runtime_by_name.get(stored.key.removeprefix(INDEX_PREFIX))
         if runtime is not None:
             runtime.set_index(index)
+
+
+def view_upstreams(runtime: DeploymentRuntime) -> list[UpstreamView]:
+    """Return the upstreams of a deployment as this host sees them."""
+    return [
+        UpstreamView(
+            name=server.upstream.name,
+            service=server.upstream.service,
+            place=server.upstream.place,
+            is_up=server.is_up,
+            is_leaving=server.is_leaving,
+            latency_ms=round(server.latency.mean * 1000, 3),
+            in_flight=server.in_flight,
+            waiting=server.pool.waiting,
+            connections=server.pool.open_connections,
+            connecting=server.pool.connecting,
+            share=server.pool.share,
+            closed_by_cause=server.pool.closed_by_cause,
+        )
+        for server in runtime.servers_by_name.values()
+    ]
--- /dev/null
+++ b/packages/standins/crocusbay_standins/report.py
@@ -0,0 +1,179 @@
+"""Report of a load run: what callers saw and what the processes used."""
+
+import json
+import os
+import re
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from crocusbay.state import ServiceKind
+from crocusbay_standins.lab import Lab, LabSetup, Program
+
+MAX_MICROS = 60_000_000
+_SUB_REQUESTS = re.compile(
+    r'^crocusbay_sub_requests_total\{.*reason="(\w+)"\} (\S+)$', re.MULTILINE
+)
+
+
+@dataclass
+class Tally:
+    """Collect what callers see."""
+
+    latency_by_kind: dict[str, HdrHistogram] = field(default_factory=dict)
+    verdicts: Counter[str] = field(default_factory=Counter)
+    missing_by_cause: Counter[str] = field(default_factory=Counter)
+    coverage_sum: float = 0.0
+    coverage_least: float = 1.0
+    searches: int = 0
+    complete: int = 0
+
+    def add(self, kind: str, seconds: float, status: int, body: dict) -> None:
+        """Take one answer."""
+        histogram = self.latency_by_kind.setdefault(
+            kind, HdrHistogram(1, MAX_MICROS, 3)
+        )
+        histogram.record_value(max(1, int(seconds * 1e6)))
+        verdict = body.get("verdict") or ("ran" if status == 200 else f"http-{status}")
+        cause = body.get("cause")
+        self.verdicts[f"{kind} {verdict}{f' {cause}' if cause else ''}"] += 1
+        if kind == ServiceKind.SEARCH and status == 200:
+            self.searches += 1
+            self.complete += body["is_complete"]
+            self.coverage_sum += body["coverage_ratio"]
+            for missing in body["coverage"]["missing"]:
+                self.missing_by_cause[missing["cause"]] += 1
+            self.coverage_least = min(self.coverage_least, body["coverage_ratio"])
+
+
+def read_cpu_seconds(program: Program) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{program.process.pid}/stat").read_text().rsplit(")", 1)[1]
+    ticks = sum(int(ticks) for ticks in fields.split()[11:13])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def read_sub_requests(lab: Lab) -> Counter[str]:
+    """Return the requests that hosts sent upstream, by reason."""
+    total: Counter[str] = Counter()
+    for name in lab.host_by_name:
+        text = lab.http.get(f"{lab.host_url(name)}/metrics").text
+        for reason, value in _SUB_REQUESTS.findall(text):
+            total[reason] += int(float(value))
+    return total
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Hold what the processes have used so far (seconds)."""
+
+    host_cpu: float
+    upstream_cpu: float
+    sub_requests: Counter
+
+
+def read_usage(lab: Lab) -> Usage:
+    """Return what the processes have used so far."""
+    return Usage(
+        sum(read_cpu_seconds(p) for p in lab.host_by_name.values()),
+        sum(read_cpu_seconds(p) for p in lab.upstreams),
+        read_sub_requests(lab),
+    )
+
+
+@dataclass(frozen=True)
+class RunSetup:
+    """Describe one run: requests a second, seconds, seed and the trouble in it."""
+
+    rate: float
+    seconds: float
+    seed: int
+    trouble: str
+
+
+@dataclass(frozen=True)
+class Report:
+    """Hold the figures of one run (milliseconds, microseconds, shares)."""
+
+    deployment: str
+    hosts: int
+    rate: float
+    seconds: float
+    seed: int
+    trouble: str
+    latency_ms: dict[str, dict[str, float]]
+    verdicts: dict[str, int]
+    coverage_mean: float
+    coverage_least: float
+    complete_share: float
+    missing_by_cause: dict[str, int]
+    sub_requests: dict[str, int]
+    extra_load: float
+    host_cpu_us_per_sub_request: float
+    upstream_cpu_us_per_sub_request: float
+
+
+def make_report(
+    setup: LabSetup, run: RunSetup, tally: Tally, before: Usage, after: Usage
+) -> Report:
+    """Return the report of a run."""
+    sent = after.sub_requests - before.sub_requests
+    useful = sum(sent[reason] for reason in ("primary", "retry", "hedge", "canary"))
+    everything = max(1, useful + sent["cancel"])
+    searches = max(1, tally.searches)
+    return Report(
+        deployment=setup.deployment.name,
+        hosts=setup.hosts,
+        rate=run.rate,
+        seconds=run.seconds,
+        seed=run.seed,
+        trouble=run.trouble,
+        latency_ms={
+            kind: {
+                f"p{percent:g}": round(h.get_value_at_percentile(percent) / 1000, 2)
+                for percent in (50, 99, 99.9)
+            }
+            for kind, h in sorted(tally.latency_by_kind.items())
+        },
+        verdicts=dict(sorted(tally.verdicts.items())),
+        coverage_mean=round(tally.coverage_sum / searches, 5),
+        coverage_least=round(tally.coverage_least, 5),
+        complete_share=round(tally.complete / searches, 5),
+        missing_by_cause=dict(tally.missing_by_cause),
+        sub_requests=dict(sent),
+        extra_load=round(useful / max(1, sent["needed"]) - 1, 4),
+        host_cpu_us_per_sub_request=round(
+            (after.host_cpu - before.host_cpu) / everything * 1e6, 1
+        ),
+        upstream_cpu_us_per_sub_request=round(
+            (after.upstream_cpu - before.upstream_cpu) / everything * 1e6, 1
+        ),
+    )
+
+
+def format_report(report: Report) -> str:
+    """Return the report as a table."""
+    rows = [
+        ("deployment", f"{report.deployment}, {report.hosts} hosts"),
+        ("rate, seconds, seed", f"{report.rate}/s, {report.seconds}, {report.seed}"),
+        ("trouble", report.trouble),
+    ]
+    for kind, values in report.latency_ms.items():
+        shown = "  ".join(f"{name} {value}" for name, value in values.items())
+        rows.append((f"{kind} latency, ms", shown))
+    rows += [(f"verdict {name}", str(n)) for name, n in report.verdicts.items()]
+    rows += [
+        ("coverage mean, least", f"{report.coverage_mean}, {report.coverage_least}"),
+        ("complete answers, share", str(report.complete_share)),
+        ("missing services by cause", json.dumps(report.missing_by_cause)),
+        ("sub-requests", json.dumps(report.sub_requests)),
+        ("extra load, share", str(report.extra_load)),
+        ("host CPU per sub-request, us", str(report.host_cpu_us_per_sub_request)),
+        (
+            "upstream CPU per sub-request, us",
+            str(report.upstream_cpu_us_per_sub_request),
+        ),
+    ]
+    return "\n".join(f"{name:34} {value}" for name, value in rows)
--- a/packages/standins/crocusbay_standins/tests/test_search.py
+++ b/packages/standins/crocusbay_standins/tests/test_search.py
@@ -267,3 +267,58 @@
                 verdict = await world.search("fine")
                 if isinstance(verdict, Ran) and verdict.answer.coverage.is_complete:
                     break
+
+
+async def test_all_connections_silent_at_once_cost_no_coverage():
+    async with running_world(deadline=2.0) as world:
+        for _ in range(5):
+            await world.search()
+        for server in world.servers.values():
+            server.silence()
+        results = []
+
+        async def search():
+            results.append(await world.search())
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(search)
+        for _ in range(5):
+            await search()
+        assert all(isinstance(result, Ran) for result in results)
+        assert all(result.answer.coverage.is_complete for result in results)
+
+
+async def test_document_survives_silent_connections():
+    async with running_world() as world:
+        for number in range(10):
+            await world.document(f"d{number}")
+        for server in world.servers.values():
+            server.silence()
+        for number in range(10):
+            assert isinstance(await world.document(f"d{number}", seconds=2.0), Ran)
+
+
+async def test_loss_of_many_servers_costs_no_coverage():
+    async with running_world(searched=20) as world:
+        await world.search()
+        world.runtime.retries.tokens = 0.0
+        stopped = [name for name in world.servers if name.endswith(".1")]
+        for name in stopped:
+            world.servers[name].crash()
+        servers = world.runtime.servers_by_name
+        pools = [servers[name].pool for name in stopped]
+        await until(lambda: not any(pool.open_connections for pool in pools))
+        for _ in range(10):
+            assert (await world.search()).answer.coverage.is_complete
+
+
+async def test_silent_connections_of_some_services_cost_no_coverage():
+    async with running_world(deadline=2.0) as world:
+        for _ in range(5):
+            await world.search()
+        world.runtime.hedges.tokens = 0.0
+        for name in world.named("catalogue-1") + world.named("catalogue-2"):
+            world.servers[name].silence()
+        for _ in range(5):
+            assert (await world.search()).answer.coverage.is_complete
--- a/packages/standins/crocusbay_standins/upstreams.py
+++ b/packages/standins/crocusbay_standins/upstreams.py
@@ -169,12 +169,13 @@
                 try:
                     done = await self.model.answer(work)
                 except Crash:
-                    self._crash()
+                    self.crash()
                     return
                 if scope not in self._silent:
                     await stream.send(self._encode(work, done))
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """Close the listener and every connection; start again after a while."""
         self.model.counts["crashes"] += 1
         self._crashed.set()
 
