--- a/packages/core/crocusbay/coordination/order.py
+++ b/packages/core/crocusbay/coordination/order.py
@@ -92,7 +92,7 @@
     async def _claim(
         self, runtime: DeploymentRuntime, order: OrderRequest
     ) -> _Claim | Verdict:
-        """Write the record as started; settle a lost answer by reading it back."""
+        """Write the record as started by the deadline, or give the order up."""
         key = order_key(runtime.name, order.order)
         record = OrderRecord(
             order=order.order,
@@ -102,6 +102,14 @@
             state=OrderState.STARTED,
             time=datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
         )
+        with anyio.move_on_after(order.deadline - self._context.timers.now()):
+            return await self._write_claim(key, record, order)
+        return self._withdraw_later(key, record)
+
+    async def _write_claim(
+        self, key: str, record: OrderRecord, order: OrderRequest
+    ) -> _Claim | Verdict:
+        """Write the record; settle a lost answer by reading it back."""
         version = 0
         while True:
             result = await self._platform.write(key, to_json(record), version)
--- a/packages/core/crocusbay/transport/pool.py
+++ b/packages/core/crocusbay/transport/pool.py
@@ -6,7 +6,15 @@
 import anyio
 
 from crocusbay.protocol.upstream import SubRequest, encode_request
-from crocusbay.state import Cause, HybridClock, NotRun, Ran, Upstream, Verdict
+from crocusbay.state import (
+    Cause,
+    HybridClock,
+    MayHaveRun,
+    NotRun,
+    Ran,
+    Upstream,
+    Verdict,
+)
 from crocusbay.transport.connection import UpstreamConnection
 from crocusbay.transport.exchange import Exchange
 from crocusbay.transport.timers import TimerService
@@ -14,7 +22,8 @@
 MAX_WAITING = 32
 CONNECT_PAUSE_SECONDS = 0.1
 PROOF_SECONDS = 1.0
-PING_DEADLINE_SECONDS = 0.15
+PING_DEADLINE_SECONDS = 0.06
+PING_PATIENCE_SECONDS = 0.02
 PING_TARGET = "/health"
 
 
@@ -97,10 +106,11 @@
         self._open_connection()
 
     def drop_unheard(self, since: float) -> None:
-        """Close the connections that were in use or idle and not heard since then."""
+        """Close the connections, idle or in use, that were last heard before then."""
         for connection in list(self._connections):
             if connection.answers and connection.last_heard < since:
                 connection.close(Cause.SILENT)
+        self._idle = [each for each in self._idle if not each.is_closing]
 
     def set_share(self, share: int) -> None:
         """Change how many connections may be open; close idle ones beyond it."""
@@ -152,17 +162,23 @@
         """Return a ping that proves a connection before a non-idempotent request."""
 
         def pinged(_: Exchange, verdict: Verdict) -> None:
+            if isinstance(verdict, MayHaveRun) and verdict.cause is Cause.SILENT:
+                self.drop_unheard(pinged_at)
             if not held.is_done:
                 self._waiting.appendleft(held)
             if not isinstance(verdict, Ran):
                 self._pump()
 
         self.pings += 1
-        deadline = self._timers.now() + PING_DEADLINE_SECONDS
-        ping = Exchange(
-            SubRequest(f"{held.sub.request}.ping", "GET", PING_TARGET, deadline),
-            pinged,
+        pinged_at = self._timers.now()
+        sub = SubRequest(
+            f"{held.sub.request}.ping",
+            "GET",
+            PING_TARGET,
+            pinged_at + PING_DEADLINE_SECONDS,
+            patience=PING_PATIENCE_SECONDS,
         )
+        ping = Exchange(sub, pinged)
         self.close_if_overdue(ping)
         return ping
 
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -236,3 +236,17 @@
         caller.send("refused")
         assert caller.verdicts["refused"] == NotRun(Cause.LEAVING)
         assert await caller.verdict("running") == Ran(SubResponse(200, b"1"))
+
+
+async def test_request_after_unheard_connections_are_dropped_gets_a_new_one():
+    async with (
+        scripted_server(*[reply()] * 3) as server,
+        running_pool(server.address, share=1) as (pool, timers),
+    ):
+        caller = Caller(pool, timers)
+        caller.send("first")
+        await caller.verdict("first")
+        pool.drop_unheard(timers.now() + 1.0)
+        caller.send("second")
+        assert isinstance(await caller.verdict("second"), Ran)
+        assert server.connections == 2
--- a/packages/standins/crocusbay_standins/tests/test_order.py
+++ b/packages/standins/crocusbay_standins/tests/test_order.py
@@ -185,3 +185,24 @@
         await until(lambda: state(world) == OrderState.NOT_RUN)
         assert isinstance(await world.order(desk=second_desk(world)), Ran)
         assert world.runs("o1") == 1
+
+
+async def test_order_is_answered_by_its_deadline_while_the_platform_hangs():
+    async with running_world() as world:
+        world.set_platform(outage=Outage.HANG)
+        with anyio.fail_after(1.5):
+            verdict = await world.order(seconds=0.3)
+        assert isinstance(verdict, NotRun)
+        assert verdict.cause is Cause.PLATFORM_UNAVAILABLE
+
+
+async def test_order_runs_in_time_though_all_connections_are_silent():
+    async with running_world() as world:
+        for number in range(20):
+            await world.order(f"warm-{number}")
+        for name in world.named("orders"):
+            world.servers[name].silence()
+            for connection in world.runtime.servers_by_name[name].pool._connections:
+                connection.last_heard -= 60.0
+        assert isinstance(await world.order(seconds=0.3), Ran)
+        assert world.runs("o1") == 1
