--- a/packages/core/crocusbay/coordination/membership.py
+++ b/packages/core/crocusbay/coordination/membership.py
@@ -6,8 +6,8 @@
 from crocusbay.protocol.platform import ListedHost
 from crocusbay.state import Member
 
-HEARTBEAT_SECONDS = 0.5
-LOST_SECONDS = 2.0
+HEARTBEAT_SECONDS = 1.0
+LOST_SECONDS = 3.0
 FORGET_SECONDS = 30.0
 
 
--- a/packages/core/crocusbay/coordination/metrics.py
+++ b/packages/core/crocusbay/coordination/metrics.py
@@ -57,6 +57,9 @@
         self.bad_messages = self._counter(
             "crocusbay_bad_peer_messages", "Peer messages that were malformed"
         )
+        self.peer_bytes = self._counter(
+            "crocusbay_peer_bytes", "Bytes of messages sent to other hosts"
+        )
         self.platform_calls = self._counter(
             "crocusbay_platform_calls", "Calls to the platform", "call", "result"
         )
--- a/packages/core/crocusbay/coordination/peering.py
+++ b/packages/core/crocusbay/coordination/peering.py
@@ -22,6 +22,7 @@
 from crocusbay.state import EventKind, Load, Member
 from crocusbay.transport import PeerListener, PeerSender
 
+BEATS_PER_HEARSAY = 10
 MAX_GIVEN_BYTES = 4 * 1024 * 1024
 
 
@@ -99,7 +100,7 @@
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to every host known, at once."""
-        beat = self._heartbeat()
+        beat = self._heartbeat(names_others=self._beat % BEATS_PER_HEARSAY == 0)
         for address in self._addresses():
             self._send(address, beat)
 
@@ -114,7 +115,7 @@
             sender = PeerSender(address)
             self._senders_by_address[address] = sender
             self._tasks.start_soon(sender.run)
-        sender.send(message)
+        self._context.metrics.peer_bytes.inc(sender.send(message))
 
     def _drop_senders(self) -> None:
         """Close the connections to hosts that are gone."""
@@ -150,12 +151,12 @@
             self._context.timeline.record(EventKind.MEMBER_JOINED, detail=member.name)
             self._send(member.peer_address, self._heartbeat())
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, *, names_others: bool = True) -> Heartbeat:
         self._beat += 1
         return Heartbeat(
             self.itself,
             self._context.clock.now(),
-            tuple(self._membership.live),
+            tuple(self._membership.live) if names_others else (),
             self._quarantine.shared(),
         )
 
--- a/packages/core/crocusbay/coordination/replication.py
+++ b/packages/core/crocusbay/coordination/replication.py
@@ -59,15 +59,23 @@
                 await self._wait_as_follower()
 
     async def run_host_list(self) -> None:
-        """Read the platform's host list until cancelled."""
+        """Read the platform's host list until cancelled.
+
+        Hosts that do not watch learn of others by their heartbeats.
+        """
         while True:
-            hosts = await self._platform.hosts()
-            self._count("hosts", hosts.is_ok())
-            if hosts.is_ok():
-                self._membership.take_list(hosts.ok.hosts)
-            pause = LIST_SECONDS if self._membership.live else LIST_ALONE_SECONDS
+            is_alone = not self._membership.live
+            if is_alone or self.is_watcher:
+                await self._read_host_list()
+            pause = LIST_ALONE_SECONDS if is_alone else LIST_SECONDS
             await self._context.timers.sleep(pause * random.uniform(0.8, 1.2))
 
+    async def _read_host_list(self) -> None:
+        hosts = await self._platform.hosts()
+        self._count("hosts", hosts.is_ok())
+        if hosts.is_ok():
+            self._membership.take_list(hosts.ok.hosts)
+
     async def _wait_as_follower(self) -> None:
         waited = 0.0
         poll_after = POLL_SECONDS * random.uniform(0.8, 1.2)
--- a/packages/core/crocusbay/coordination/runtime.py
+++ b/packages/core/crocusbay/coordination/runtime.py
@@ -18,6 +18,8 @@
 )
 
 BUDGET_BURST = 50.0
+# Kept free for connections that a host has closed and a server not yet noticed.
+CONNECTION_HEADROOM = 0.1
 CANARY_RATIO = 0.005
 CANARY_BURST = 100.0
 LACKING_SECONDS = 0.25
@@ -119,7 +121,8 @@
 
     def _share(self, service: Service) -> int:
         hosts = max(self._hosts, self.config.hosts)
-        return max(1, service.connections // hosts)
+        usable = int(service.connections * (1.0 - CONNECTION_HEADROOM))
+        return max(1, usable // hosts)
 
     def _rebuild(self) -> None:
         wanted = {
--- a/packages/core/crocusbay/coordination/scatter.py
+++ b/packages/core/crocusbay/coordination/scatter.py
@@ -161,6 +161,10 @@
             if reason in (Reason.PRIMARY, Reason.RETRY):
                 self._wait_for_server(leg)
             return False
+        self._send(leg, server, reason)
+        return True
+
+    def _send(self, leg: Leg, server: Server, reason: Reason) -> None:
         leg.tried.add(server.upstream.name)
         sub = SubRequest(
             self._job.request,
@@ -178,7 +182,6 @@
         )
         if not exchange.is_done:
             leg.open[exchange] = attempt
-        return True
 
     def _wait_for_server(self, leg: Leg) -> None:
         """Try the tried servers again after a pause, or give the leg up."""
@@ -230,23 +233,25 @@
         """Try new connections for the legs whose old ones may have gone silent.
 
         Two suffice while no server has answered at all: if they are answered, every
-        old connection is closed.
+        old connection is closed. A server whose slots this host alone fills is slow
+        for that reason, and gets none.
         """
         late = [leg for leg in self.legs if leg.verdict is None and leg.open]
         if not self._answers:
             late = late[:CANARIES]
         for leg in late:
+            suspect = next(iter(leg.open.values())).server
+            if suspect.in_flight > suspect.service.slots:
+                continue
             if not self._runtime.canaries.spend():
                 return
-            leg.tried.clear()
-            self._start(leg, Reason.CANARY)
+            self._send(leg, suspect, Reason.CANARY)
 
-    def _drop_silent(self, leg: Leg) -> None:
+    def _drop_silent(self, server: Server) -> None:
         """Close the connections that stayed unheard while a new one answered."""
         if not self._answers:
             self._runtime.drop_unheard(self._started_at)
-        for attempt in list(leg.open.values()):
-            attempt.server.pool.drop_unheard(self._started_at)
+        server.pool.drop_unheard(self._started_at)
 
     def _retry(self, leg: Leg) -> None:
         is_free = leg.last_failure and leg.last_failure.cause in _FREE_TO_RETRY
@@ -265,7 +270,7 @@
             return
         if isinstance(verdict, Ran):
             if attempt.reason is Reason.CANARY:
-                self._drop_silent(leg)
+                self._drop_silent(attempt.server)
             self._clear_suspicion(leg)
             cause = self._accept(leg, verdict.answer)
             if cause is None:
--- a/packages/core/crocusbay/transport/peers.py
+++ b/packages/core/crocusbay/transport/peers.py
@@ -71,10 +71,12 @@
         )
         self._socket.dial(f"tcp://{address}", block=False)
 
-    def send(self, message: PeerMessage) -> None:
-        """Queue a message; never wait."""
-        self._queue.append(to_pack(message))
+    def send(self, message: PeerMessage) -> int:
+        """Queue a message without waiting; return its bytes."""
+        data = to_pack(message)
+        self._queue.append(data)
         self._wake.set()
+        return len(data)
 
     async def run(self) -> None:
         """Send until closed."""
--- a/packages/standins/crocusbay_standins/slopes.py
+++ b/packages/standins/crocusbay_standins/slopes.py
@@ -1,7 +1,8 @@
 """Slopes: what an idle host costs by hosts and servers, and what messages weigh."""
 
+import re
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -9,7 +10,7 @@
 from crocusbay.protocol import from_pack, to_json, to_pack
 from crocusbay.protocol.peer import Heartbeat, PeerMessage
 from crocusbay.state import Deployment, Load, Member, Stamp
-from crocusbay_standins.lab import LabSetup, Program, plan_servers, running_lab
+from crocusbay_standins.lab import Lab, LabSetup, Program, plan_servers, running_lab
 from crocusbay_standins.load import load_deployment
 from crocusbay_standins.report import read_cpu_seconds
 
@@ -17,6 +18,7 @@
 IDLE_SECONDS = 15.0
 CODEC_ROUNDS = 2_000
 MEMBER_COUNTS = (1, 7, 50, 500)
+_PEER_BYTES = re.compile(r"^crocusbay_peer_bytes_total (\S+)$", re.MULTILINE)
 
 
 def read_memory_mb(program: Program) -> float:
@@ -26,16 +28,40 @@
     return int(line.split()[1]) / 1024
 
 
-def measure_idle(deployment: Deployment, hosts: int) -> tuple[float, float]:
-    """Return the share of a core and the megabytes that an idle host takes."""
+@dataclass(frozen=True)
+class Idle:
+    """Hold what an idle host takes (share of a core, megabytes, bytes a second)."""
+
+    core_share: float
+    memory_mb: float
+    peer_bytes: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.core_share:.2%} of a core, {self.memory_mb:.1f} MB, "
+            f"{self.peer_bytes:.0f} bytes/s to peers"
+        )
+
+
+def measure_idle(deployment: Deployment, hosts: int) -> Idle:
+    """Return what an idle host takes."""
     with running_lab(LabSetup(deployment, hosts, 2)) as lab:
         time.sleep(SETTLE_SECONDS)
         programs = list(lab.host_by_name.values())
-        before = sum(read_cpu_seconds(program) for program in programs)
+        cpu = -sum(read_cpu_seconds(program) for program in programs)
+        sent = -read_peer_bytes(lab)
         time.sleep(IDLE_SECONDS)
-        after = sum(read_cpu_seconds(program) for program in programs)
+        cpu += sum(read_cpu_seconds(program) for program in programs)
+        sent += read_peer_bytes(lab)
         memory = max(read_memory_mb(program) for program in programs)
-    return (after - before) / IDLE_SECONDS / hosts, memory
+    each = IDLE_SECONDS * hosts
+    return Idle(cpu / each, memory, sent / each)
+
+
+def read_peer_bytes(lab: Lab) -> float:
+    """Return the bytes that all hosts sent to each other."""
+    texts = [lab.http.get(f"{lab.host_url(n)}/metrics").text for n in lab.host_by_name]
+    return sum(float(_PEER_BYTES.search(text).group(1)) for text in texts)
 
 
 def multiply_services(deployment: Deployment, factor: int) -> Deployment:
@@ -77,13 +103,11 @@
         click.echo(f"heartbeat, {members} members: {size} bytes, {micros:.0f} us")
     click.echo(f"configuration: {len(to_json(deployment))} bytes")
     for hosts in (1, 3, 7):
-        share, memory = measure_idle(deployment, hosts)
-        click.echo(f"{hosts} hosts idle: {share:.2%} of a core, {memory:.1f} MB each")
+        click.echo(f"{hosts} hosts, each: {measure_idle(deployment, hosts)}")
     for factor in (1, 2, 4):
         grown = multiply_services(deployment, factor)
-        share, memory = measure_idle(grown, 1)
         servers = len(plan_servers(grown))
-        click.echo(f"{servers} servers: {share:.2%} of a core, {memory:.1f} MB")
+        click.echo(f"{servers} servers: {measure_idle(grown, 1)}")
 
 
 if __name__ == "__main__":
--- a/packages/standins/crocusbay_standins/tests/test_hosts.py
+++ b/packages/standins/crocusbay_standins/tests/test_hosts.py
@@ -275,15 +275,19 @@
 
 
 def test_connections_of_all_hosts_stay_within_a_servers_limit(lab):
+    lab.control_upstreams("faults", FaultOrder(ServerFaults(late_ms=200.0)))
     threads = [
-        threading.Thread(target=lambda h=host: [search(lab, h) for _ in range(20)])
-        for host in list(lab.host_by_name) * 10
+        threading.Thread(target=lambda h=host: [search(lab, h) for _ in range(2)])
+        for host in list(lab.host_by_name) * 20
     ]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
+    peaks = []
     for name, counts in lab.control_upstreams("counts").items():
         limit = 25 if name.startswith("catalogue") else 100
-        assert counts.get("peak_connections", 0) <= limit
+        peaks.append(counts.get("peak_connections", 0))
+        assert peaks[-1] <= limit
         assert counts.get("connections_refused", 0) == 0
+    assert max(peaks) > 25 // len(lab.host_by_name)
