Spare orders under way when silent connections are dropped; part large modules

Ruled out: leaving out order services from the drop; their idle silent connections must go too.

Change: a connection that carries a non-idempotent request stays until its own patience ends. Legs and replies have modules of their own; one constant for the quarantine's time; pings show in the view of upstreams.

Before: test_order_under_way_outlasts_the_drop_of_unheard_connections red.

--- a/packages/core/crocusbay/coordination/document.py
+++ b/packages/core/crocusbay/coordination/document.py
@@ -2,14 +2,18 @@
 
 from dataclasses import dataclass
 
-from crocusbay.coordination.quarantine import Quarantine, fingerprint
+from crocusbay.coordination.leg import Job, Leg
+from crocusbay.coordination.quarantine import (
+    STRIKE_LIFETIME_SECONDS,
+    Quarantine,
+    fingerprint,
+)
 from crocusbay.coordination.runtime import DeploymentRuntime
-from crocusbay.coordination.scatter import Job, Leg, Scatter
+from crocusbay.coordination.scatter import Scatter
 from crocusbay.protocol.upstream import document_target
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 
 RETRY_AFTER_SECONDS = 0.2
-QUARANTINE_RETRY_SECONDS = 120.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +33,7 @@
     target = document_target(query.document)
     identity = fingerprint(runtime.name, f"{query.service}{target}")
     if quarantine.holds(identity, query.service):
-        return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+        return NotRun(Cause.QUARANTINED, STRIKE_LIFETIME_SECONDS)
     leg = Leg(query.service, target)
     job = Job(query.request, identity, query.deadline)
     await Scatter(runtime, quarantine, job, [leg]).run()
--- a/packages/core/crocusbay/coordination/scatter.py
+++ b/packages/core/crocusbay/coordination/scatter.py
@@ -3,9 +3,8 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import StrEnum
 
+from crocusbay.coordination.leg import Attempt, Job, Leg, Reason
 from crocusbay.coordination.mailbox import Mailbox
 from crocusbay.coordination.quarantine import EVERY_SERVICE, Quarantine
 from crocusbay.coordination.runtime import DeploymentRuntime
@@ -16,7 +15,6 @@
 from crocusbay.transport import Exchange
 
 UNKNOWN_LATENCY_SECONDS = 0.02
-RETRY_PAUSE_SECONDS = 0.02
 CANCEL_DEADLINE_SECONDS = 0.5
 STALL_SHARE_OF_DEADLINE = 0.25
 CANARIES = 2
@@ -34,50 +32,6 @@
 )
 
 
-class Reason(StrEnum):
-    """Name why a request goes upstream; NEEDED counts the least there could be."""
-
-    NEEDED = "needed"
-    PRIMARY = "primary"
-    RETRY = "retry"
-    HEDGE = "hedge"
-    CANCEL = "cancel"
-    CANARY = "canary"
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """Describe one attempt of a leg at a server."""
-
-    server: Server
-    reason: Reason
-
-
-@dataclass(slots=True, eq=False)
-class Leg:
-    """Hold the part of a request that goes to one service."""
-
-    service: str
-    target: str
-    verdict: Verdict | None = None
-    last_failure: Verdict | None = None
-    tried: set[str] = field(default_factory=set)
-    open: dict[Exchange, "Attempt"] = field(default_factory=dict)
-    retry_pause: float = RETRY_PAUSE_SECONDS
-    is_held: bool = False
-    has_hedged: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Job:
-    """Describe a scattered request; the deadline is on the monotonic clock."""
-
-    request: str
-    fingerprint: str
-    deadline: float
-    snapshot: int = 0
-
-
 Accept = Callable[[Leg, SubResponse], Cause | None]
 
 
--- a/packages/core/crocusbay/coordination/search.py
+++ b/packages/core/crocusbay/coordination/search.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from crocusbay.coordination.quarantine import Quarantine, fingerprint
+from crocusbay.coordination.leg import Job, Leg
+from crocusbay.coordination.quarantine import (
+    STRIKE_LIFETIME_SECONDS,
+    Quarantine,
+    fingerprint,
+)
 from crocusbay.coordination.runtime import DeploymentRuntime
-from crocusbay.coordination.scatter import Job, Leg, Scatter
+from crocusbay.coordination.scatter import Scatter
 from crocusbay.protocol.codec import from_json
 from crocusbay.protocol.upstream import (
     STATUS_WRONG_SNAPSHOT,
@@ -27,7 +32,6 @@
 )
 
 MAX_PASSES = 8
-QUARANTINE_RETRY_SECONDS = 120.0
 NO_INDEX_RETRY_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.2
 
@@ -73,7 +77,7 @@
     async def run(self) -> Verdict:
         """Return Ran with a SearchResult, or NotRun if no shard answered."""
         if self._quarantine.holds(self._fingerprint):
-            return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+            return NotRun(Cause.QUARANTINED, STRIKE_LIFETIME_SECONDS)
         snapshot = self._runtime.snapshot()
         if snapshot is None:
             return NotRun(Cause.NO_INDEX, NO_INDEX_RETRY_SECONDS)
@@ -92,7 +96,7 @@
 
     def _refuse(self, result: SearchResult) -> Verdict:
         if self._quarantine.holds(self._fingerprint):
-            return NotRun(Cause.QUARANTINED, QUARANTINE_RETRY_SECONDS)
+            return NotRun(Cause.QUARANTINED, STRIKE_LIFETIME_SECONDS)
         causes = [missing.cause for missing in result.coverage.missing]
         cause = max(set(causes), key=causes.count, default=Cause.NO_INDEX)
         return NotRun(cause, RETRY_AFTER_SECONDS, "no shard answered")
--- a/packages/core/crocusbay/protocol/caller.py
+++ b/packages/core/crocusbay/protocol/caller.py
@@ -83,6 +83,7 @@
     connections: int
     connecting: int
     share: int
+    pings: int
     closed_by_cause: dict[str, int]
 
 
--- a/packages/core/crocusbay/state/event.py
+++ b/packages/core/crocusbay/state/event.py
@@ -14,7 +14,6 @@
 
     ATTEMPT_FAILED = "attempt-failed"
     CONFIG_IN_FORCE = "config-in-force"
-    CONNECTION_CLOSED = "connection-closed"
     FAULT_SET = "fault-set"
     HEDGE = "hedge"
     HOST_LEAVING = "host-leaving"
--- a/packages/core/crocusbay/transport/connection.py
+++ b/packages/core/crocusbay/transport/connection.py
@@ -72,6 +72,11 @@
         self._scope = anyio.CancelScope()
         self.on_message_begin()
 
+    @property
+    def carries_order(self) -> bool:
+        """Return whether a non-idempotent request is under way."""
+        return self.current is not None and not self.current.sub.is_idempotent
+
     async def run(self) -> Cause | None:
         """Connect and read until the connection ends; return why connecting failed."""
         ip, port = split_address(self.address)
--- a/packages/core/crocusbay/transport/pool.py
+++ b/packages/core/crocusbay/transport/pool.py
@@ -106,9 +106,14 @@
         self._open_connection()
 
     def drop_unheard(self, since: float) -> None:
-        """Close the connections, idle or in use, that were last heard before then."""
+        """Close the connections, idle or in use, that were last heard before then.
+
+        One that carries an order stays: closing it would leave the order's fate
+        unknown, and its own patience ends it if it is silent.
+        """
         for connection in list(self._connections):
-            if connection.answers and connection.last_heard < since:
+            is_unheard = connection.answers > 0 and connection.last_heard < since
+            if is_unheard and not connection.carries_order:
                 connection.close(Cause.SILENT)
         self._idle = [each for each in self._idle if not each.is_closing]
 
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -250,3 +250,20 @@
         caller.send("second")
         assert isinstance(await caller.verdict("second"), Ran)
         assert server.connections == 2
+
+
+async def test_order_under_way_outlasts_the_drop_of_unheard_connections():
+    async with (
+        scripted_server(reply(), reply(body=b'"ran"')) as server,
+        running_pool(server.address, share=1) as (pool, timers),
+    ):
+        caller = Caller(pool, timers)
+        caller.send("search")
+        await caller.verdict("search")
+        server.gate = anyio.Event()
+        order = caller.send("order", method="POST", is_idempotent=False)
+        while not order.is_sent:
+            await anyio.sleep(0.001)
+        pool.drop_unheard(timers.now() + 1.0)
+        server.gate.set()
+        assert await caller.verdict("order") == Ran(SubResponse(200, b'"ran"'))
--- a/packages/host/crocusbay_host/app.py
+++ b/packages/host/crocusbay_host/app.py
@@ -3,12 +3,10 @@
 import math
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import anyio
 import logbook
-import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from crocusbay.coordination import (
@@ -24,9 +22,7 @@
 from crocusbay.protocol import to_json
 from crocusbay.protocol.caller import (
     BadRequest,
-    RanReply,
     SearchReply,
-    VerdictReply,
 )
 from crocusbay.protocol.upstream import (
     CLOCK_HEADER,
@@ -45,6 +41,7 @@
     parse_stamp,
 )
 from crocusbay_host.host import Host, view_upstreams
+from crocusbay_host.reply import Reply, json_reply, verdict_name, verdict_reply
 from crocusbay_host.request import (
     CallerGone,
     CallerRequest,
@@ -58,25 +55,12 @@
 )
 
 STATUS_INTERNAL = 500
-STATUS_UNAVAILABLE = 503
-STATUS_GATEWAY_TIMEOUT = 504
-NOT_READY_RETRY_SECONDS = 0.5
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 _log = logbook.Logger("crocusbay.app")
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Hold a response to a caller."""
-
-    status: int
-    body: bytes
-    retry_after: float = 0.0
-    content_type: str = "application/json"
-
-
 class App:
     """Answer the requests of callers and operators."""
 
@@ -126,17 +110,19 @@
         self._host.context.clock.observe(parse_stamp(stamp))
         match request.method, request.parts:
             case "GET", ("entry",):
-                return _json(self._host.entry(request.query_by_name.get("place", "")))
+                return json_reply(
+                    self._host.entry(request.query_by_name.get("place", ""))
+                )
             case "GET", ("health",):
-                return _json({"host": self._host.context.host})
+                return json_reply({"host": self._host.context.host})
             case "GET", ("status",):
-                return _json(self._host.status())
+                return json_reply(self._host.status())
             case "GET", ("timeline",):
                 return self._timeline(request)
             case "GET", ("metrics",):
                 return self._metrics()
             case "GET", ("deployments", name, "upstreams"):
-                return _json(view_upstreams(self._runtime(name)))
+                return json_reply(view_upstreams(self._runtime(name)))
             case "GET", ("deployments", name, "search"):
                 return await self._search(request, receive, request_id, name)
             case "GET", ("deployments", name, "services", service, "documents", doc):
@@ -152,7 +138,7 @@
 
     def _timeline(self, request: CallerRequest) -> Reply:
         wanted = request.query_by_name.get("request", "")
-        return _json(self._host.context.timeline.events(wanted))
+        return json_reply(self._host.context.timeline.events(wanted))
 
     def _metrics(self) -> Reply:
         body = generate_latest(self._host.context.metrics.registry)
@@ -192,10 +178,10 @@
             runtime, "search", request_id, _until_gone(search.run, receive)
         )
         if not isinstance(verdict, Ran):
-            return _verdict_reply(request_id, verdict)
+            return verdict_reply(request_id, verdict)
         result: SearchResult = verdict.answer
         self._host.context.metrics.coverage.labels(name).observe(result.coverage.ratio)
-        return _json(
+        return json_reply(
             SearchReply(
                 request=request_id,
                 deployment=name,
@@ -234,7 +220,7 @@
         verdict = await self._run(
             runtime, "document", request_id, _until_gone(fetch, receive)
         )
-        return _verdict_reply(request_id, verdict)
+        return verdict_reply(request_id, verdict)
 
     async def _order(
         self,
@@ -266,7 +252,7 @@
         except DifferentOrderError:
             expected = "a new id, or the content first sent with this one"
             raise bad_value("order", order, expected, 409) from None
-        return _verdict_reply(request_id, verdict)
+        return verdict_reply(request_id, verdict)
 
     async def _run(
         self,
@@ -303,12 +289,12 @@
                 EventKind.REQUEST_ENDED,
                 request=request_id,
                 deployment=runtime.name,
-                detail=f"{kind} {_verdict_name(verdict)} {seconds * 1000:.1f} ms",
+                detail=f"{kind} {verdict_name(verdict)} {seconds * 1000:.1f} ms",
             )
         return verdict
 
     def _count(self, runtime: DeploymentRuntime, kind: str, verdict: Verdict) -> None:
-        name = _verdict_name(verdict)
+        name = verdict_name(verdict)
         self._host.context.metrics.verdicts.labels(runtime.name, kind, name).inc()
 
 
@@ -331,31 +317,3 @@
         raise CallerGone
 
     return run_watched
-
-
-def _json(value: Any) -> Reply:
-    return Reply(STATUS_OK, to_json(value))
-
-
-def _verdict_name(verdict: Verdict) -> str:
-    match verdict:
-        case Ran():
-            return "ran"
-        case NotRun():
-            return "not-run"
-        case MayHaveRun():
-            return "may-have-run"
-
-
-def _verdict_reply(request_id: str, verdict: Verdict) -> Reply:
-    name = _verdict_name(verdict)
-    match verdict:
-        case Ran(answer):
-            body = to_json(RanReply(request_id, name, msgspec.Raw(answer.body)))
-            return Reply(answer.status, body)
-        case NotRun(cause, retry_after, detail):
-            status = STATUS_UNAVAILABLE
-        case MayHaveRun(cause, retry_after, detail):
-            status = STATUS_GATEWAY_TIMEOUT
-    reply = VerdictReply(request_id, name, cause, math.ceil(retry_after * 1000), detail)
-    return Reply(status, to_json(reply), retry_after)
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -238,6 +238,7 @@
             connections=server.pool.open_connections,
             connecting=server.pool.connecting,
             share=server.pool.share,
+            pings=server.pool.pings,
             closed_by_cause=server.pool.closed_by_cause,
         )
         for server in runtime.servers_by_name.values()
