Log the end of each request with its id and deployment

Cause: request ids stood in the time line but in no log line. Ruled out: level info; a line a search costs CPU on the path that bounds a host. Change: a debug line with request, deployment, kind, verdict, milliseconds. Before: none. Conclusion: kept.

--- a/packages/host/crocusbay_host/app.py
+++ b/packages/host/crocusbay_host/app.py
@@ -285,6 +285,14 @@
             self._count(runtime, kind, verdict)
             metrics = self._host.context.metrics
             metrics.latency.labels(runtime.name, kind).observe(seconds)
+            _log.debug(
+                EventKind.REQUEST_ENDED.value,
+                request=request_id,
+                deployment=runtime.name,
+                kind=kind,
+                verdict=verdict_name(verdict),
+                milliseconds=round(seconds * 1000, 1),
+            )
             timeline.record(
                 EventKind.REQUEST_ENDED,
                 request=request_id,
