--- a/packages/core/crocusbay/transport/__init__.py
+++ b/packages/core/crocusbay/transport/__init__.py
@@ -1,11 +1,22 @@
-"""Transport: connections to upstreams, peers, callers and the platform."""
+"""Transport: connections to upstreams, peers, callers and the platform.
 
-from crocusbay.transport.exchange import Exchange
-from crocusbay.transport.peers import PeerListener, PeerSender
-from crocusbay.transport.platform import PlatformClient
-from crocusbay.transport.pool import UpstreamPool
-from crocusbay.transport.server import open_listener, serve
-from crocusbay.transport.timers import Timer, TimerService
+The names are loaded when first used, so that a process pays only for the libraries
+that it needs.
+"""
+
+from importlib import import_module
+
+_MODULE_BY_NAME = {
+    "Exchange": "exchange",
+    "PeerListener": "peers",
+    "PeerSender": "peers",
+    "PlatformClient": "platform",
+    "Timer": "timers",
+    "TimerService": "timers",
+    "UpstreamPool": "pool",
+    "open_listener": "server",
+    "serve": "server",
+}
 
 __all__ = [
     "Exchange",
@@ -18,3 +29,11 @@
     "open_listener",
     "serve",
 ]
+
+
+def __getattr__(name: str) -> object:
+    """Return a name of this layer from the module that holds it."""
+    module = _MODULE_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination: routing, limits, retries, gathers, membership and the store's views."""
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -0,0 +1,145 @@
+"""Attempts: one request sent to one server, and what is learned from its verdict."""
+
+from collections.abc import Callable
+
+from crocusbay.state import Cause, NotRun, Ran, Verdict
+from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.quantile import QuantileEstimate
+from crocusbay_gateway.coordination.registry import Server
+from crocusbay_gateway.protocol import encode_server_request
+from crocusbay_gateway.state import CallerRequest, Route
+from crocusbay_gateway.transport.connection import Exchange
+
+# A first guess of the usual time of a request, as a share of its route's goal.
+USUAL_SHARE_OF_GOAL = 0.15
+HEDGE_QUANTILE = 0.92
+# A hedge earlier than this share of the goal would mostly repeat healthy work.
+LEAST_HEDGE_SHARE = 0.12
+MOST_HEDGE_SHARE = 0.55
+# A request that its caller no longer waits for keeps a server at most this long.
+LOSER_SECONDS = 0.3
+
+
+class RouteTiming:
+    """Follow the usual time of one route's attempts, and when one is late (seconds)."""
+
+    def __init__(self, goal: float) -> None:
+        usual = USUAL_SHARE_OF_GOAL * goal
+        self.usual = QuantileEstimate(0.5, usual)
+        self.hedge_after = QuantileEstimate(
+            HEDGE_QUANTILE,
+            2 * usual,
+            low=LEAST_HEDGE_SHARE * goal,
+            high=MOST_HEDGE_SHARE * goal,
+        )
+
+    def add(self, elapsed: float) -> None:
+        """Take the time of a first attempt, finished or given up."""
+        self.usual.add(elapsed)
+        self.hedge_after.add(elapsed)
+
+
+class Attempt:
+    """Send one request to one server; call back once with the verdict."""
+
+    __slots__ = ("server", "exchange", "is_extra", "_context", "_timing", "_on_verdict")
+
+    def __init__(
+        self,
+        context: Context,
+        request: CallerRequest,
+        route: Route,
+        server: Server,
+        timing: RouteTiming,
+        give_up_at: float,
+        on_verdict: Callable[["Attempt", Verdict], None],
+        *,
+        is_extra: bool,
+    ) -> None:
+        self.server = server
+        self.is_extra = is_extra
+        self._context = context
+        self._timing = timing
+        self._on_verdict = on_verdict
+        now = context.timers.now()
+
+        def encode() -> bytes:
+            remaining = give_up_at - context.timers.now()
+            return encode_server_request(
+                request, context.dialect, server.entry.name, remaining
+            )
+
+        self.exchange = Exchange(
+            request.attempt.encode("latin-1"),
+            encode,
+            give_up_at,
+            self._finish,
+            is_sole=not route.is_idempotent,
+        )
+        overdue_at = now + 2 * timing.hedge_after.value
+        server.health.sent(self.exchange, overdue_at)
+
+    def send(self) -> None:
+        """Hand the request to the server's connections."""
+        self.server.pool.submit(self.exchange)
+
+    def abandon(self, *, is_urgent: bool) -> None:
+        """Stop waiting; free the server at once, or soon if it may answer by itself."""
+        exchange = self.exchange
+        if exchange.is_done:
+            return
+        now = self._context.timers.now()
+        if exchange.is_sent:
+            elapsed = now - exchange.sent_at
+            usual = self._timing.usual.value
+            self.server.health.waited(elapsed, usual, now)
+        connection = exchange.connection
+        is_running = connection is not None and connection.current is exchange
+        if is_urgent or not is_running:
+            self._cut()
+            return
+        # Stays part of the server's load until it answers or is cut.
+        exchange.redirect(self._finish_unheard)
+        self._context.timers.at(now + LOSER_SECONDS, self._cut)
+
+    def _cut(self) -> None:
+        exchange = self.exchange
+        if not exchange.is_done and exchange.is_sent and not self.is_extra:
+            self._timing.add(self._context.timers.now() - exchange.sent_at)
+        exchange.is_done = True
+        self.server.health.done(exchange)
+        connection = exchange.connection
+        if connection is not None and connection.current is exchange:
+            connection.close()
+
+    def _finish(self, exchange: Exchange, verdict: Verdict) -> None:
+        self.server.health.done(exchange)
+        verdict = self._judge(verdict)
+        now = self._context.timers.now()
+        elapsed = now - exchange.sent_at if exchange.is_sent else 0.0
+        self.server.health.learn(verdict, elapsed, self._timing.usual.value, now)
+        if not self.is_extra and isinstance(verdict, Ran):
+            self._timing.add(elapsed)
+        self._on_verdict(self, verdict)
+
+    def _finish_unheard(self, exchange: Exchange, verdict: Verdict) -> None:
+        self.server.health.done(exchange)
+        verdict = self._judge(verdict)
+        now = self._context.timers.now()
+        elapsed = now - exchange.sent_at
+        self.server.health.learn(verdict, elapsed, self._timing.usual.value, now)
+        if not self.is_extra and isinstance(verdict, Ran):
+            self._timing.add(elapsed)
+
+    def _judge(self, verdict: Verdict) -> Verdict:
+        """Return the verdict; an answer that says so means that nothing ran."""
+        if not isinstance(verdict, Ran):
+            return verdict
+        answer = verdict.answer
+        dialect = self._context.dialect
+        if answer.status == dialect.wrong_server_status:
+            return NotRun(Cause.LEAVING)
+        not_run = dialect.not_run.lower()
+        if any(name.lower() == not_run for name, _ in answer.headers):
+            return NotRun(Cause.SHED, detail=f"status {answer.status}")
+        return verdict
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/context.py
@@ -0,0 +1,22 @@
+"""Context: what the parts of one gateway process share."""
+
+from dataclasses import dataclass
+
+from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.registry import Registry
+from crocusbay_gateway.log import DecisionLog
+from crocusbay_gateway.metrics import GatewayMetrics
+from crocusbay_gateway.protocol import Dialect
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """Hold the services that serving a request needs."""
+
+    dialect: Dialect
+    timers: TimerService
+    registry: Registry
+    quarantine: Quarantine
+    log: DecisionLog
+    metrics: GatewayMetrics
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -0,0 +1,238 @@
+"""Forward: one request to one server of a service, repeated only where it may be."""
+
+import asyncio
+
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
+from crocusbay.transport.timers import Timer
+from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming
+from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.quarantine import fingerprint
+from crocusbay_gateway.coordination.refusal import reply_to_failure
+from crocusbay_gateway.protocol import Strike, forwardable
+from crocusbay_gateway.state import CallerRequest, Reply, Route, ServerAnswer
+
+# Statuses by which this system promises that a request has not run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+MAX_SENDS = 4
+RETRY_PAUSE_SECONDS = 0.05
+HEDGE_SHARE_OF_EXTRAS = 0.6
+
+
+class Forward:
+    """Serve one request; `run` returns the reply."""
+
+    def __init__(
+        self,
+        context: Context,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        timing: RouteTiming,
+        give_up_at: float,
+    ) -> None:
+        self.retries = 0
+        self.hedges = 0
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+        self._timing = timing
+        self._give_up_at = give_up_at
+        self._now = context.timers.now
+        self._open: list[Attempt] = []
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._failure: Verdict | None = None
+        self._failed_answer: ServerAnswer | None = None
+        self._done: asyncio.Future[Reply] | None = None
+        self._timers: list[Timer] = []
+        self._crashed: set[str] = set()
+
+    async def run(self) -> Reply:
+        """Send the request and return the reply."""
+        self._done = asyncio.get_running_loop().create_future()
+        is_finished = False
+        try:
+            self._start()
+            reply = await self._done
+            is_finished = True
+        finally:
+            self._stop(is_urgent=not is_finished)
+        self._judge_crashes(reply)
+        return reply
+
+    def _start(self) -> None:
+        now = self._now()
+        self._context.registry.budget(self._service).note_request(now)
+        self._at(self._give_up_at, self._give_up)
+        if not self._send("first"):
+            cause = (
+                Cause.OVERLOAD
+                if self._context.registry.has_server(self._service)
+                else Cause.NO_UPSTREAM
+            )
+            self._fail(NotRun(cause))
+            return
+        if self._route.is_idempotent and self._route.max_attempts > 1:
+            self._at(now + self._timing.hedge_after.value, self._hedge)
+
+    def _send(self, reason: str) -> bool:
+        exclude = {attempt.server.entry.name for attempt in self._open}
+        server = None
+        if len(self._tried) < self._route.max_attempts:
+            server = self._context.registry.choose(
+                self._service, self._tried | exclude
+            )
+        if server is None and reason == "retry":
+            server = self._choose_tried(exclude)
+        if server is None:
+            return False
+        if reason != "first":
+            share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
+            budget = self._context.registry.budget(self._service)
+            if not budget.spend(self._now(), share):
+                return False
+        self._sends += 1
+        self._context.metrics.attempts.labels(reason).inc()
+        attempt = Attempt(
+            self._context,
+            self._request,
+            self._route,
+            server,
+            self._timing,
+            self._give_up_at,
+            self._take,
+            is_extra=reason != "first",
+        )
+        self._open.append(attempt)
+        self._tried.add(server.entry.name)
+        attempt.send()
+        return True
+
+    def _choose_tried(self, exclude: set[str]):
+        others = {
+            server.entry.name
+            for server in self._context.registry.by_service.get(self._service, ())
+            if server.entry.name not in self._tried
+        }
+        if len(self._tried) < self._route.max_attempts:
+            others = set()
+        return self._context.registry.choose(self._service, others | exclude)
+
+    def _hedge(self) -> None:
+        if self._open and self._send("hedge"):
+            self.hedges += 1
+
+    def _take(self, attempt: Attempt, verdict: Verdict) -> None:
+        if attempt in self._open:
+            self._open.remove(attempt)
+        if self._done.done():
+            return
+        if isinstance(verdict, Ran):
+            self._take_answer(attempt, verdict.answer)
+        else:
+            self._take_failure(attempt, verdict)
+
+    def _take_answer(self, attempt: Attempt, answer: ServerAnswer) -> None:
+        if answer.status < 500:
+            self._finish(self._pass_on(answer))
+            return
+        self._failed_answer = answer
+        self._take_failure(
+            attempt, MayHaveRun(Cause.PROTOCOL, detail=f"status {answer.status}")
+        )
+
+    def _take_failure(self, attempt: Attempt, verdict: Verdict) -> None:
+        self._context.metrics.attempt_failures.labels(verdict.cause).inc()
+        self._context.log.info(
+            "attempt-failed",
+            request=self._request.attempt,
+            service=self._service,
+            server=attempt.server.entry.name,
+            entry_revision=attempt.server.entry.revision,
+            cause=verdict.cause,
+            detail=verdict.detail,
+        )
+        if isinstance(verdict, NotRun):
+            self._tried.discard(attempt.server.entry.name)
+        if self._failure is None or isinstance(verdict, MayHaveRun):
+            self._failure = verdict
+        if verdict == MayHaveRun(Cause.RESET):
+            self._crashed.add(attempt.server.entry.name)
+        if self._open:
+            return
+        may_repeat = self._route.is_idempotent or isinstance(verdict, NotRun)
+        if not may_repeat or self._sends >= MAX_SENDS:
+            self._fail(self._failure)
+        else:
+            self._retry()
+
+    def _retry(self) -> None:
+        if self._send("retry"):
+            self.retries += 1
+        elif isinstance(self._failure, NotRun) and self._context.registry.has_server(
+            self._service
+        ):
+            self._at(self._now() + RETRY_PAUSE_SECONDS, self._retry_later)
+        else:
+            self._fail(self._failure)
+
+    def _retry_later(self) -> None:
+        if self._send("retry"):
+            self.retries += 1
+        else:
+            self._fail(self._failure)
+
+    def _give_up(self) -> None:
+        if self._open and any(attempt.exchange.is_sent for attempt in self._open):
+            self._fail(MayHaveRun(Cause.DEADLINE))
+        else:
+            self._fail(self._failure or NotRun(Cause.NO_CONNECTION))
+
+    def _fail(self, verdict: Verdict) -> None:
+        if self._failed_answer is not None and isinstance(verdict, MayHaveRun):
+            self._finish(self._pass_on(self._failed_answer))
+            return
+        self._finish(reply_to_failure(verdict, self._give_up_at - self._now()))
+
+    def _finish(self, reply: Reply) -> None:
+        if not self._done.done():
+            self._done.set_result(reply)
+
+    def _pass_on(self, answer: ServerAnswer) -> Reply:
+        """Return a server's answer; one that would promise too much becomes ours."""
+        if answer.status in PROMISE_STATUSES:
+            return reply_to_failure(MayHaveRun(Cause.PROTOCOL), 0.0)
+        outcome = "complete" if answer.is_success else f"server status {answer.status}"
+        return Reply(
+            answer.status,
+            forwardable(list(answer.headers), frozenset()),
+            answer.body,
+            reason=answer.reason,
+            outcome=outcome,
+        )
+
+    def _at(self, when: float, callback) -> None:
+        def run() -> None:
+            if not self._done.done():
+                callback()
+
+        self._timers.append(self._context.timers.at(when, run))
+
+    def _stop(self, *, is_urgent: bool) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        for attempt in self._open:
+            if self._route.is_idempotent or not attempt.exchange.is_sent:
+                attempt.abandon(is_urgent=is_urgent)
+        self._open.clear()
+
+    def _judge_crashes(self, reply: Reply) -> None:
+        if not self._crashed:
+            return
+        request = fingerprint(self._request)
+        if reply.status < 500:
+            self._context.quarantine.clear(request)
+            return
+        for server in self._crashed:
+            self._context.quarantine.strike(Strike(request, server), self._now())
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -0,0 +1,347 @@
+"""Gather: one request to every shard of a route, merged into one answer."""
+
+import asyncio
+import math
+from dataclasses import dataclass, field
+
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
+from crocusbay.transport.timers import Timer
+from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming
+from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
+from crocusbay_gateway.coordination.quarantine import fingerprint
+from crocusbay_gateway.coordination.refusal import reply_to_failure
+from crocusbay_gateway.protocol import Strike
+from crocusbay_gateway.state import CallerRequest, Reply, Route, ServerAnswer, ToShards
+
+RECORD_BYTES = 16
+# Part of the extras that hedges may take; the rest is for retries of failed parts.
+HEDGE_SHARE_OF_EXTRAS = 0.8
+# Sends of one part, those that a server rejected included.
+MAX_SENDS_PER_SHARD = 4
+# The pause before a part is offered again to servers that all rejected it.
+RETRY_PAUSE_SECONDS = 0.03
+
+
+@dataclass(slots=True)
+class Leg:
+    """Hold the part of one shard."""
+
+    service: str
+    answer: ServerAnswer | None = None
+    records: list[bytes] = field(default_factory=list)
+    open: list[Attempt] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    has_hedged: bool = False
+    is_held: bool = False
+    is_failed: bool = False
+    failure: Verdict | None = None
+
+    @property
+    def is_pending(self) -> bool:
+        """Return whether a part may still come."""
+        return self.answer is None and not self.is_failed
+
+
+class Gather:
+    """Serve one request; `run` returns the reply."""
+
+    def __init__(
+        self,
+        context: Context,
+        request: CallerRequest,
+        route: Route,
+        timing: RouteTiming,
+        policy: PartialPolicy,
+    ) -> None:
+        self.legs = [Leg(service) for service in route.target.services]
+        self.hedges = 0
+        self.retries = 0
+        self._context = context
+        self._request = request
+        self._route = route
+        self._target: ToShards = route.target
+        self._timing = timing
+        self._policy = policy
+        self._now = context.timers.now
+        self._parts = 0
+        self._pending = len(self.legs)
+        self._crashed: set[str] = set()
+        self._done: asyncio.Future[Decision] | None = None
+        self._timers: list[Timer] = []
+        self._check_timer: Timer | None = None
+
+    async def run(self) -> Reply:
+        """Send to every shard and return the reply when it is good enough."""
+        self._done = asyncio.get_running_loop().create_future()
+        is_finished = False
+        try:
+            self._start()
+            decision = await self._done
+            is_finished = True
+        finally:
+            self._stop(is_urgent=not is_finished)
+        self._judge_crashes()
+        if decision is Decision.ANSWER:
+            return self._answer()
+        return self._failure()
+
+    def _start(self) -> None:
+        now = self._now()
+        for leg in self.legs:
+            self._context.registry.budget(leg.service).note_request(now)
+        for leg in self.legs:
+            self._send(leg, "first")
+        self._at(now + self._timing.hedge_after.value, self._hedge_late)
+        self._check()
+
+    def _send(self, leg: Leg, reason: str) -> bool:
+        """Send a part to the best server left; return whether one was there."""
+        exclude = {attempt.server.entry.name for attempt in leg.open}
+        if len(leg.tried) >= self._route.max_attempts:
+            server = self._choose_tried(leg, exclude)
+        else:
+            server = self._context.registry.choose(leg.service, leg.tried | exclude)
+            if server is None and reason == "retry":
+                server = self._choose_tried(leg, exclude)
+        if server is None:
+            return False
+        if reason != "first" and not self._may_spend(leg, reason):
+            return False
+        leg.sends += 1
+        self._context.metrics.attempts.labels(reason).inc()
+        attempt = Attempt(
+            self._context,
+            self._request,
+            self._route,
+            server,
+            self._timing,
+            self._policy.give_up_at,
+            lambda sent, verdict: self._take(leg, sent, verdict),
+            is_extra=reason != "first",
+        )
+        leg.open.append(attempt)
+        leg.tried.add(server.entry.name)
+        attempt.send()
+        return True
+
+    def _choose_tried(self, leg: Leg, exclude: set[str]):
+        """Return the best of the servers that the part was offered to before."""
+        others = {
+            server.entry.name
+            for server in self._context.registry.by_service.get(leg.service, ())
+            if server.entry.name not in leg.tried
+        }
+        return self._context.registry.choose(leg.service, others | exclude)
+
+    def _may_spend(self, leg: Leg, reason: str) -> bool:
+        share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
+        return self._context.registry.budget(leg.service).spend(self._now(), share)
+
+    def _hedge_late(self) -> None:
+        """Send each part that is late to a second server."""
+        for leg in self.legs:
+            if leg.is_pending and leg.open and not leg.has_hedged:
+                leg.has_hedged = True
+                if self._route.max_attempts > 1 and self._send(leg, "hedge"):
+                    self.hedges += 1
+        self._check()
+
+    def _take(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
+        """Take the verdict of one attempt."""
+        if attempt in leg.open:
+            leg.open.remove(attempt)
+        if leg.answer is not None or self._done.done():
+            return
+        if isinstance(verdict, Ran) and self._is_part(verdict.answer):
+            self._take_part(leg, verdict.answer)
+        else:
+            self._take_failure(leg, attempt, verdict)
+        self._check()
+
+    def _is_part(self, answer: ServerAnswer) -> bool:
+        return answer.is_success and bool(answer.signature)
+
+    def _take_part(self, leg: Leg, answer: ServerAnswer) -> None:
+        leg.answer = answer
+        if not leg.is_failed:
+            self._pending -= 1
+        leg.is_failed = False
+        body = answer.body
+        leg.records = [
+            body[start : start + RECORD_BYTES]
+            for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
+        ]
+        self._parts += 1
+        for attempt in leg.open:
+            attempt.abandon(is_urgent=False)
+        leg.open.clear()
+        if self._parts == 1:
+            self._retry_held()
+
+    def _take_failure(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
+        cause = getattr(verdict, "cause", "status")
+        self._context.metrics.attempt_failures.labels(cause).inc()
+        if isinstance(verdict, Ran):
+            verdict = MayHaveRun(
+                Cause.PROTOCOL, detail=f"status {verdict.answer.status}"
+            )
+        self._context.log.info(
+            "attempt-failed",
+            request=self._request.attempt,
+            service=leg.service,
+            server=attempt.server.entry.name,
+            entry_revision=attempt.server.entry.revision,
+            cause=verdict.cause,
+            detail=verdict.detail,
+        )
+        if isinstance(verdict, NotRun):
+            leg.tried.discard(attempt.server.entry.name)
+        if leg.failure is None or isinstance(verdict, MayHaveRun):
+            leg.failure = verdict
+        if verdict == MayHaveRun(Cause.RESET):
+            self._crashed.add(attempt.server.entry.name)
+            if not self._parts:
+                # Retried once another shard has answered: the request itself may have
+                # crashed the server.
+                leg.is_held = True
+        if leg.open:
+            return
+        if leg.is_held:
+            self._settle_held()
+        else:
+            self._retry(leg, verdict)
+
+    def _retry(self, leg: Leg, verdict: Verdict) -> None:
+        if leg.sends >= MAX_SENDS_PER_SHARD:
+            self._fail(leg)
+        elif self._send(leg, "retry"):
+            self.retries += 1
+        elif isinstance(verdict, NotRun) and self._context.registry.has_server(
+            leg.service
+        ):
+            self._at(self._now() + RETRY_PAUSE_SECONDS, lambda: self._retry_later(leg))
+        else:
+            self._fail(leg)
+
+    def _retry_later(self, leg: Leg) -> None:
+        if leg.is_pending and not leg.open:
+            if self._send(leg, "retry"):
+                self.retries += 1
+            else:
+                self._fail(leg)
+        self._check()
+
+    def _fail(self, leg: Leg) -> None:
+        if leg.is_pending:
+            leg.is_failed = True
+            self._pending -= 1
+
+    def _settle_held(self) -> None:
+        """Give up when every shard's server was lost and none has answered."""
+        if all(leg.is_held or leg.is_failed for leg in self.legs):
+            for leg in self.legs:
+                self._fail(leg)
+
+    def _retry_held(self) -> None:
+        for leg in self.legs:
+            if leg.is_held and leg.is_pending:
+                leg.is_held = False
+                if not leg.open:
+                    self._retry(leg, leg.failure)
+
+    def _check(self) -> None:
+        """Decide on the parts that are in, now or when time alone decides."""
+        if self._done.done():
+            return
+        for leg in self.legs:
+            if leg.is_pending and not leg.sends:
+                self._fail(leg)
+        now = self._now()
+        decision = self._policy.decide(now, self._parts, self._pending)
+        if decision is not Decision.WAIT:
+            self._done.set_result(decision)
+            return
+        if self._check_timer is None:
+            self._set_check_timer(now)
+
+    def _set_check_timer(self, now: float) -> None:
+        def check() -> None:
+            self._check_timer = None
+            self._check()
+
+        when = self._policy.next_check(now, self._parts)
+        self._check_timer = self._context.timers.at(when, check)
+
+    def _at(self, when: float, callback) -> None:
+        def run() -> None:
+            if not self._done.done():
+                callback()
+
+        self._timers.append(self._context.timers.at(when, run))
+
+    def _stop(self, *, is_urgent: bool) -> None:
+        for timer in (*self._timers, *filter(None, (self._check_timer,))):
+            timer.cancel()
+        for leg in self.legs:
+            for attempt in leg.open:
+                attempt.abandon(is_urgent=is_urgent)
+            leg.open.clear()
+
+    def _judge_crashes(self) -> None:
+        """Strike a request that lost servers and was answered by none."""
+        if not self._crashed:
+            return
+        request = fingerprint(self._request)
+        if self._parts:
+            self._context.quarantine.clear(request)
+            return
+        for server in self._crashed:
+            self._context.quarantine.strike(Strike(request, server), self._now())
+
+    def _answer(self) -> Reply:
+        parts = [leg for leg in self.legs if leg.answer is not None]
+        records: list[bytes] = []
+        for leg in parts:
+            records += leg.records
+        records.sort(reverse=True)
+        dialect = self._context.dialect
+        signatures = b", ".join(leg.answer.signature for leg in parts)
+        missing = len(self.legs) - len(parts)
+        self._context.metrics.share.labels(self._route.name).observe(
+            len(parts) / len(self.legs)
+        )
+        return Reply(
+            200,
+            (
+                (dialect.attempt, self._request.attempt.encode("latin-1")),
+                (dialect.part_signatures, signatures),
+                (dialect.missing_parts, b"%d" % missing),
+            ),
+            b"".join(records[: self._target.top]),
+            outcome="partial" if missing else "complete",
+        )
+
+    def _failure(self) -> Reply:
+        left = self._policy.give_up_at - self._now()
+        may_have_run = [
+            leg.failure for leg in self.legs if isinstance(leg.failure, MayHaveRun)
+        ]
+        if may_have_run:
+            return reply_to_failure(may_have_run[0], left)
+        if self._parts or any(leg.open for leg in self.legs) or left <= 0:
+            return reply_to_failure(MayHaveRun(Cause.DEADLINE), left)
+        refused = [leg.failure for leg in self.legs if leg.failure is not None]
+        if refused:
+            return reply_to_failure(refused[0], left)
+        return reply_to_failure(NotRun(Cause.NO_UPSTREAM), left)
+
+
+def least_parts(target: ToShards) -> int:
+    """Return how many parts a success needs.
+
+    >>> least_parts(ToShards(("a", "b", "c", "d"), 5, 0.75))
+    3
+    """
+    return max(1, math.ceil(target.least_share * len(target.services) - 1e-9))
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/quantile.py
@@ -0,0 +1,34 @@
+"""Quantile of a stream of latencies, followed with constant memory."""
+
+
+class QuantileEstimate:
+    """Follow one quantile by stochastic approximation (seconds).
+
+    >>> estimate = QuantileEstimate(0.9, initial=0.05)
+    >>> for index in range(2_000):
+    ...     estimate.add((index * 37 % 100) / 1000)
+    >>> 0.08 < estimate.value < 0.1
+    True
+    """
+
+    # Share of the value by which one sample moves it.
+    STEP = 0.05
+
+    __slots__ = ("quantile", "value", "low", "high")
+
+    def __init__(
+        self, quantile: float, initial: float, low: float = 0.001, high: float = 60.0
+    ) -> None:
+        self.quantile = quantile
+        self.value = initial
+        self.low = low
+        self.high = high
+
+    def add(self, sample: float) -> None:
+        """Take one sample."""
+        step = self.STEP * self.value
+        if sample > self.value:
+            moved = self.value + step * self.quantile
+        else:
+            moved = self.value - step * (1.0 - self.quantile)
+        self.value = min(self.high, max(self.low, moved))
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -0,0 +1,158 @@
+"""Registry: the servers in force on this host, with connections and health."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.budget import ExtraBudget
+from crocusbay_gateway.coordination.health import ServerHealth
+from crocusbay_gateway.protocol import Dialect
+from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
+from crocusbay_gateway.transport.pool import ServerPool
+
+# Left free for connections that a host has closed and the server not yet noticed.
+CONNECTION_HEADROOM = 0.1
+# Until a host has heard the others it takes no more than this part of a limit.
+LEAST_HOSTS = 3
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold one server: its entry, the connections to it and its health."""
+
+    entry: ServerEntry
+    pool: ServerPool
+    health: ServerHealth
+    is_remote: bool
+
+    def cost(self, now: float) -> float:
+        """Return the expected cost of one more request; less is better."""
+        cost = self.health.cost(now, self.entry.slots, is_remote=self.is_remote)
+        return cost if self.pool.has_room else cost + self.entry.slots
+
+
+class Registry:
+    """Hold the usable servers by service."""
+
+    def __init__(
+        self,
+        place: str,
+        dialect: Dialect,
+        bounds: Bounds,
+        timers: TimerService,
+        spawn: Callable,
+    ) -> None:
+        self.by_service: dict[str, list[Server]] = {}
+        self.hosts = 1
+        self._place = place
+        self._dialect = dialect
+        self._bounds = bounds
+        self._timers = timers
+        self._spawn = spawn
+        self._by_name: dict[str, Server] = {}
+        self._budget_by_service: dict[str, ExtraBudget] = {}
+        self._limit_by_service: dict[str, int] = {}
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take the connection limits of the services."""
+        self._limit_by_service = {
+            service.name: service.max_connections for service in configuration.services
+        }
+        self._set_shares()
+
+    def set_hosts(self, hosts: int) -> None:
+        """Divide limits and budgets among so many hosts."""
+        if hosts == self.hosts:
+            return
+        self.hosts = hosts
+        for budget in self._budget_by_service.values():
+            budget.hosts = hosts
+        self._set_shares()
+
+    def take(self, entries: Iterable[ServerEntry]) -> None:
+        """Take entries that changed."""
+        for entry in entries:
+            self._take_one(entry)
+        grouped: dict[str, list[Server]] = {}
+        for server in self._by_name.values():
+            if server.entry.is_usable:
+                grouped.setdefault(server.entry.service, []).append(server)
+        self.by_service = grouped
+
+    def budget(self, service: str) -> ExtraBudget:
+        """Return the budget of extras of a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = self._budget_by_service[service] = ExtraBudget(self._bounds)
+            budget.hosts = self.hosts
+        return budget
+
+    def choose(self, service: str, exclude: Iterable[str] = ()) -> Server | None:
+        """Return the server to ask next, or None if none may be asked."""
+        now = self._timers.now()
+        best, best_cost = None, float("inf")
+        for server in self.by_service.get(service, ()):
+            if server.entry.name in exclude or not server.health.is_up(now):
+                continue
+            cost = server.cost(now)
+            if cost < best_cost:
+                best, best_cost = server, cost
+        return best
+
+    def has_server(self, service: str) -> bool:
+        """Return whether any server of the service takes work."""
+        return bool(self.by_service.get(service))
+
+    def servers_by_place(self) -> dict[str, int]:
+        """Return how many usable servers each data centre holds."""
+        counts: dict[str, int] = {}
+        for servers in self.by_service.values():
+            for server in servers:
+                counts[server.entry.place] = counts.get(server.entry.place, 0) + 1
+        return counts
+
+    def close(self) -> None:
+        """Close the connections that carry nothing."""
+        for server in self._by_name.values():
+            server.pool.close()
+
+    def _take_one(self, entry: ServerEntry) -> None:
+        held = self._by_name.get(entry.name)
+        if held is not None and not self._is_same_start(held.entry, entry):
+            held.pool.close()
+            del self._by_name[entry.name]
+            held = None
+        if entry.is_gone:
+            return
+        if held is not None:
+            held.entry = entry
+            return
+        self._by_name[entry.name] = Server(
+            entry,
+            ServerPool(
+                entry.address,
+                self._share(entry.service),
+                self._dialect,
+                self._timers,
+                self._spawn,
+            ),
+            ServerHealth(self._timers.now() + entry.cold_time),
+            is_remote=entry.place != self._place,
+        )
+
+    @staticmethod
+    def _is_same_start(held: ServerEntry, entry: ServerEntry) -> bool:
+        return not entry.is_gone and (
+            held.address == entry.address
+            and held.service == entry.service
+            and held.started_at == entry.started_at
+        )
+
+    def _share(self, service: str) -> int:
+        limit = self._limit_by_service.get(service, LEAST_HOSTS)
+        usable = int(limit * (1.0 - CONNECTION_HEADROOM))
+        return max(1, usable // max(self.hosts, LEAST_HOSTS))
+
+    def _set_shares(self) -> None:
+        for server in self._by_name.values():
+            server.pool.share = self._share(server.entry.service)
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -0,0 +1,29 @@
+"""Protocol: HTTP/1.1 messages and what hosts tell each other."""
+
+from crocusbay_gateway.protocol.dialect import Dialect
+from crocusbay_gateway.protocol.peer import (
+    Beat,
+    KnownHost,
+    Strike,
+    ViewAnswer,
+    ViewQuery,
+)
+from crocusbay_gateway.protocol.wire import (
+    HOP_BY_HOP,
+    encode_reply,
+    encode_server_request,
+    forwardable,
+)
+
+__all__ = [
+    "HOP_BY_HOP",
+    "Beat",
+    "Dialect",
+    "KnownHost",
+    "Strike",
+    "ViewAnswer",
+    "ViewQuery",
+    "encode_reply",
+    "encode_server_request",
+    "forwardable",
+]
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/protocol/wire.py
@@ -0,0 +1,82 @@
+"""Wire: requests to servers and replies to callers as HTTP/1.1 bytes."""
+
+import http.client
+import math
+
+from crocusbay_gateway.protocol.dialect import Dialect
+from crocusbay_gateway.state import CallerRequest, Reply
+from crocusbay_gateway.state.request import Headers
+
+# Headers that concern one connection, or that are set anew on each.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
+_BODILESS_STATUSES = frozenset({204, 304})
+_REASONS = {
+    status: reason.encode() for status, reason in http.client.responses.items()
+}
+
+
+def forwardable(headers: list[tuple[bytes, bytes]], drop: frozenset[bytes]) -> Headers:
+    """Return the headers without those of one connection and those to drop."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    left_out = HOP_BY_HOP | drop | named
+    return tuple(pair for pair in headers if pair[0].lower() not in left_out)
+
+
+def encode_server_request(
+    request: CallerRequest, dialect: Dialect, server: str, remaining: float
+) -> bytes:
+    """Return the request for one server, with the time left (seconds)."""
+    lines = [f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")]
+    lines += [b"%b: %b\r\n" % pair for pair in request.headers]
+    lines.append(
+        b"%b: %d\r\n%b: %b\r\n"
+        % (
+            dialect.deadline_ms,
+            max(1, int(remaining * 1000)),
+            dialect.expected_server,
+            server.encode("latin-1"),
+        )
+    )
+    if request.body or request.method not in _BODILESS_METHODS:
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(b"\r\n")
+    lines.append(request.body)
+    return b"".join(lines)
+
+
+def encode_reply(reply: Reply, *, is_head: bool = False, is_last: bool = False) -> bytes:
+    """Return a reply; `is_last` announces that the connection ends with it."""
+    reason = reply.reason or _REASONS.get(reply.status, b"")
+    lines = [b"HTTP/1.1 %d %b\r\n" % (reply.status, reason)]
+    lines += [b"%b: %b\r\n" % pair for pair in reply.headers]
+    if reply.retry_after is not None:
+        seconds = math.ceil(reply.retry_after * 1000) / 1000
+        lines.append(b"Retry-After: %.3f\r\n" % seconds)
+    if reply.status not in _BODILESS_STATUSES:
+        lines.append(b"Content-Length: %d\r\n" % len(reply.body))
+    if is_last:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"\r\n")
+    if not is_head and reply.status not in _BODILESS_STATUSES:
+        lines.append(reply.body)
+    return b"".join(lines)
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/state/__init__.py
@@ -0,0 +1,36 @@
+"""State: immutable facts about routes, servers, hosts and requests."""
+
+from crocusbay_gateway.state.configuration import (
+    Configuration,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    ToService,
+    ToShards,
+    ToSplit,
+    WeightedService,
+)
+from crocusbay_gateway.state.host import HostStatus
+from crocusbay_gateway.state.request import CallerRequest, Reply, ServerAnswer
+from crocusbay_gateway.state.server import ServerEntry
+from crocusbay_gateway.state.settings import Bounds, GatewaySettings
+
+__all__ = [
+    "Bounds",
+    "CallerRequest",
+    "Configuration",
+    "GatewaySettings",
+    "HostStatus",
+    "Limits",
+    "Reply",
+    "Route",
+    "RouteKind",
+    "ServerAnswer",
+    "ServerEntry",
+    "Service",
+    "ToService",
+    "ToShards",
+    "ToSplit",
+    "WeightedService",
+]
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/transport/__init__.py
@@ -0,0 +1,17 @@
+"""Transport: connections to callers, servers, peers and the store."""
+
+from crocusbay_gateway.transport.caller import CallerServer
+from crocusbay_gateway.transport.connection import Exchange, ServerConnection
+from crocusbay_gateway.transport.page import serve_pages
+from crocusbay_gateway.transport.peer import PeerEndpoint, fetch_view
+from crocusbay_gateway.transport.pool import ServerPool
+
+__all__ = [
+    "CallerServer",
+    "Exchange",
+    "PeerEndpoint",
+    "ServerConnection",
+    "ServerPool",
+    "fetch_view",
+    "serve_pages",
+]
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/transport/caller.py
@@ -0,0 +1,316 @@
+"""Server towards callers: one task a connection, one request at a time."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httptools
+
+from crocusbay.state import split_address
+from crocusbay.transport.timers import Timer, TimerService
+from crocusbay_gateway.protocol import Dialect, encode_reply, forwardable
+from crocusbay_gateway.state import CallerRequest, Limits, Reply
+
+BACKLOG = 1024
+# Pipelined requests read ahead of the one that is served.
+MAX_READ_AHEAD = 8
+# Bytes not yet taken by the caller beyond which the connection is given up.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+MIN_REQUEST_LINE_BYTES = 8_192
+HEADER_SLACK_BYTES = 1_024
+
+Handler = Callable[[CallerRequest], Awaitable[Reply]]
+
+
+class CallerServer:
+    """Accept connections and hand each request to a handler.
+
+    `limits` is asked for each request, since a configuration may change them.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        dialect: Dialect,
+        timers: TimerService,
+        limits: Callable[[], Limits],
+        on_refused: Callable[[int, str], None] = lambda status, reason: None,
+    ) -> None:
+        self.handler = handler
+        self.dialect = dialect
+        self.timers = timers
+        self.limits = limits
+        self.on_refused = on_refused
+        self.is_leaving = False
+        self.connections: set[CallerConnection] = set()
+        self._server: asyncio.Server
+        self._tasks: anyio.abc.TaskGroup
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests being served."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    async def start(self, address: str, tasks: anyio.abc.TaskGroup) -> None:
+        """Listen on ip:port; connections run in the task group."""
+        ip, port = split_address(address)
+        self._tasks = tasks
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self),
+            ip,
+            port,
+            backlog=BACKLOG,
+            family=socket.AF_INET,
+            reuse_address=True,
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the address bound."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return f"{ip}:{port}"
+
+    def spawn(self, connection: "CallerConnection") -> None:
+        """Run a connection's task."""
+        self.connections.add(connection)
+        self._tasks.start_soon(connection.run)
+
+    def leave(self) -> None:
+        """Announce with each further reply that its connection ends."""
+        self.is_leaving = True
+
+    def close(self) -> None:
+        """Stop listening and close every connection that serves no request."""
+        self._server.close()
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+
+class CallerConnection(asyncio.Protocol):
+    """Read requests of one connection and write the reply to each in turn."""
+
+    def __init__(self, server: CallerServer) -> None:
+        self.is_busy = False
+        self._server = server
+        self._transport: asyncio.Transport
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[tuple[CallerRequest | Reply, bool]] = deque()
+        self._wake = anyio.Event()
+        self._scope: anyio.CancelScope | None = None
+        self._timer: Timer | None = None
+        self._is_closed = False
+        self._is_refused = False
+        self._header_bytes = 0
+        self._is_reading = False
+        self._caller = ""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the connection's task (called by the event loop)."""
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._caller = peer[0] if peer else ""
+        self._wait_at_most(self._server.limits().idle_time)
+        self._server.spawn(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a chunk (called by the event loop)."""
+        if self._is_closed or self._is_refused:
+            return
+        if not self._is_reading:
+            self._is_reading = True
+            self._header_bytes = 0
+            if not self.is_busy and not self._requests:
+                self._wait_at_most(self._server.limits().header_time, is_reading=True)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrade is not supported")
+        except httptools.HttpParserError as error:
+            reason = error.__context__ if error.__context__ else error
+            status = reason.status if isinstance(reason, _RefusedError) else 400
+            self._refuse(status, str(reason))
+        if len(self._requests) >= MAX_READ_AHEAD:
+            self._transport.pause_reading()
+
+    def eof_received(self) -> None:
+        """Take the end of the stream as the caller's leaving (event loop)."""
+        self.connection_lost(None)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the request being served (called by the event loop)."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._scope is not None:
+            self._scope.cancel()
+        self._wake.set()
+
+    def close(self) -> None:
+        """Close once what was written is sent."""
+        self._is_closed = True
+        self._transport.close()
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Serve the requests in their order until the connection ends."""
+        try:
+            while not self._is_closed:
+                if not self._requests:
+                    self._wake = anyio.Event()
+                    await self._wake.wait()
+                    continue
+                await self._serve(*self._requests.popleft())
+        finally:
+            self._stop_timer()
+            self._server.connections.discard(self)
+            self._transport.close()
+
+    async def _serve(self, item: CallerRequest | Reply, keeps_alive: bool) -> None:
+        self._stop_timer()
+        if isinstance(item, Reply):
+            self._write(item, is_last=True)
+            return
+        self.is_busy = True
+        reply = None
+        with anyio.CancelScope() as self._scope:
+            reply = await self._server.handler(item)
+        self._scope = None
+        self.is_busy = False
+        if reply is None or self._is_closed:
+            return
+        is_last = self._server.is_leaving or not keeps_alive
+        self._write(reply, is_head=item.method == "HEAD", is_last=is_last)
+        if len(self._requests) < MAX_READ_AHEAD and not self._is_closed:
+            self._transport.resume_reading()
+        self._wait_at_most(self._server.limits().idle_time)
+
+    def _write(self, reply: Reply, *, is_head: bool = False, is_last: bool) -> None:
+        self._transport.write(encode_reply(reply, is_head=is_head, is_last=is_last))
+        if is_last:
+            self.close()
+        elif self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._is_closed = True
+            self._transport.abort()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        self._is_refused = True
+        self._server.on_refused(status, reason)
+        self._requests.append((Reply(status, outcome="bad-request"), False))
+        self._wake.set()
+
+    def _wait_at_most(self, seconds: float, *, is_reading: bool = False) -> None:
+        self._stop_timer()
+
+        def expire() -> None:
+            if self.is_busy or self._requests:
+                return
+            if is_reading:
+                self._refuse(408, "the request was not complete in time")
+            else:
+                self.close()
+
+        self._timer = self._server.timers.at(
+            self._server.timers.now() + seconds, expire
+        )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def on_message_begin(self) -> None:
+        """Start a request (called by the parser)."""
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target (called by the parser)."""
+        self._target += url
+        self._check_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header (called by the parser)."""
+        self._headers.append((name, value))
+        self._check_header_bytes(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Check the framing (called by the parser)."""
+        # Asked later, the parser already speaks of the next request.
+        self._keeps_alive = self._parser.should_keep_alive()
+        names = [name.lower() for name, _ in self._headers]
+        if names.count(b"host") != 1:
+            raise _RefusedError(400, "a request needs one Host header")
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise _RefusedError(400, "a request has two lengths")
+        if names.count(b"content-length") > 1:
+            raise _RefusedError(400, "a request has two lengths")
+        if b"expect" in names and not self.is_busy and not self._requests:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (called by the parser)."""
+        self._body_bytes += len(body)
+        limit = self._server.limits().body_bytes
+        if self._body_bytes > limit:
+            raise _RefusedError(413, f"body of over {limit} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request (called by the parser)."""
+        self._is_reading = False
+        dialect = self._server.dialect
+        by_name = {name.lower(): value for name, value in self._headers}
+        now = self._server.timers.now()
+        deadline = _seconds(by_name.get(dialect.deadline_ms.lower(), b""))
+        request = CallerRequest(
+            attempt=by_name.get(dialect.attempt.lower(), b"").decode("latin-1"),
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+            host=by_name[b"host"].decode("latin-1").partition(":")[0].lower(),
+            headers=forwardable(
+                self._headers,
+                frozenset(
+                    {dialect.deadline_ms.lower(), dialect.expected_server.lower()}
+                ),
+            ),
+            body=b"".join(self._body),
+            received_at=now,
+            deadline=None if deadline is None else now + deadline,
+            caller=self._caller,
+        )
+        self._requests.append((request, self._keeps_alive))
+        self._wake.set()
+
+    def _check_header_bytes(self, length: int) -> None:
+        self._header_bytes += length
+        limit = max(self._server.limits().header_bytes, MIN_REQUEST_LINE_BYTES)
+        if self._header_bytes > limit + HEADER_SLACK_BYTES:
+            raise _RefusedError(431, f"headers of over {limit} bytes")
+
+
+class _RefusedError(Exception):
+    """Report a request that breaks the protocol or its limits."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+def _seconds(milliseconds: bytes) -> float | None:
+    """Return the time in seconds, or None if it is not a number.
+
+    >>> _seconds(b"1500")
+    1.5
+    >>> _seconds(b"soon") is None
+    True
+    """
+    try:
+        return max(0.0, float(milliseconds) / 1000)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/transport/connection.py
@@ -0,0 +1,251 @@
+"""Connection to an HTTP/1.1 server: one exchange at a time, every answer proved."""
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
+from crocusbay_gateway.state import ServerAnswer
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+
+
+class Exchange:
+    """Carry one request to one server; deliver exactly one verdict.
+
+    `attempt` is the id that the answer must repeat, or empty if it need not; times are
+    on the monotonic clock (seconds). A `sole` exchange goes only on a connection that
+    was used a moment ago or is new, since it must not be sent twice.
+    """
+
+    __slots__ = (
+        "attempt",
+        "data",
+        "deadline",
+        "is_done",
+        "is_sole",
+        "is_sent",
+        "sent_at",
+        "connection",
+        "_deliver",
+    )
+
+    def __init__(
+        self,
+        attempt: bytes,
+        data: bytes | Callable[[], bytes],
+        deadline: float,
+        deliver: Callable[["Exchange", Verdict], None],
+        *,
+        is_sole: bool = False,
+    ) -> None:
+        self.attempt = attempt
+        self.data = data
+        self.deadline = deadline
+        self.is_done = False
+        self.is_sole = is_sole
+        self.is_sent = False
+        self.sent_at = 0.0
+        self.connection: ServerConnection | None = None
+        self._deliver = deliver
+
+    def redirect(self, deliver: Callable[["Exchange", Verdict], None]) -> None:
+        """Deliver the verdict elsewhere."""
+        self._deliver = deliver
+
+    def finish(self, verdict: Verdict) -> None:
+        """Deliver the verdict, unless one was delivered before."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._deliver(self, verdict)
+
+    def fail(self, cause: Cause, detail: str = "") -> None:
+        """Deliver a failure that says whether the request may have run."""
+        kind = MayHaveRun if self.is_sent else NotRun
+        self.finish(kind(cause, detail=detail))
+
+
+class ServerConnection(asyncio.Protocol):
+    """Hold one connection; whatever is no answer to the current exchange ends it."""
+
+    def __init__(
+        self,
+        attempt_header: bytes,
+        signature_header: bytes,
+        on_idle: Callable[["ServerConnection"], None],
+        on_lost: Callable[["ServerConnection"], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.current: Exchange | None = None
+        self.used_at = now()
+        self.answers = 0
+        self.idle_limit: float | None = None
+        self.is_closed = False
+        self._attempt_header = attempt_header.lower()
+        self._signature_header = signature_header.lower()
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._now = now
+        self._transport: asyncio.Transport
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_reset = False
+        self._is_in_message = False
+        self._reset_message()
+
+    def send(self, exchange: Exchange) -> None:
+        """Write one request."""
+        self.current = exchange
+        exchange.connection = self
+        exchange.is_sent = True
+        exchange.sent_at = self._now()
+        data = exchange.data if isinstance(exchange.data, bytes) else exchange.data()
+        self._transport.write(data)
+
+    def close(self, cause: Cause = Cause.CANCELLED) -> None:
+        """End the connection; the exchange under way fails with the cause."""
+        self._end(cause)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport (called by the event loop)."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a chunk (called by the event loop)."""
+        if self.is_closed:
+            return
+        if self.current is None:
+            self._end(Cause.CROSSED)
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._end(Cause.PROTOCOL)
+        except httptools.HttpParserError as error:
+            is_crossed = isinstance(error.__context__, _CrossedError)
+            self._end(Cause.CROSSED if is_crossed else Cause.PROTOCOL)
+        if self._is_complete:
+            self._deliver()
+
+    def eof_received(self) -> None:
+        """Take the end of the stream, which completes an answer without a length."""
+        if self._has_headers and not self._is_framed and not self._is_complete:
+            self._must_close = True
+            self._deliver()
+        self._end(Cause.RESET)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Take the end of the connection (called by the event loop)."""
+        self._end(Cause.RESET)
+
+    def on_message_begin(self) -> None:
+        """Start an answer (called by the parser)."""
+        if self._is_complete or self.current is None:
+            self._is_spoiled = True
+            return
+        self._reset_message()
+
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase (called by the parser)."""
+        if not self._is_spoiled:
+            self._reason = reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header (called by the parser)."""
+        if not self._is_spoiled:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check that the answer belongs to the exchange (called by the parser)."""
+        if self._is_spoiled:
+            return
+        self._has_headers = True
+        self._status = self._parser.get_status_code()
+        self._must_close = not self._parser.should_keep_alive()
+        for name, value in self._headers:
+            lower = name.lower()
+            if lower in _FRAMING:
+                self._is_framed = True
+            elif lower == self._attempt_header:
+                self._check_attempt(value)
+            elif lower == self._signature_header:
+                self._signature = value
+            elif lower == b"keep-alive":
+                self._take_idle_limit(value)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (called by the parser)."""
+        if self._is_spoiled:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            raise ValueError(f"answer of over {MAX_ANSWER_BYTES} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of an answer (called by the parser)."""
+        if not self._is_spoiled and self._status >= 200:
+            self._is_complete = True
+
+    def _reset_message(self) -> None:
+        self._is_complete = False
+        self._is_spoiled = False
+        self._has_headers = False
+        self._is_framed = False
+        self._must_close = False
+        self._status = 0
+        self._reason = b""
+        self._signature = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _check_attempt(self, value: bytes) -> None:
+        expected = self.current.attempt
+        if expected and value != expected:
+            raise _CrossedError(f"answer to {value!r}, not {expected!r}")
+
+    def _take_idle_limit(self, value: bytes) -> None:
+        for part in value.split(b","):
+            key, _, seconds = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.strip().isdigit():
+                self.idle_limit = float(seconds)
+
+    def _deliver(self) -> None:
+        exchange = self.current
+        if exchange is None or self.is_closed:
+            return
+        answer = ServerAnswer(
+            self._status,
+            self._reason,
+            tuple(self._headers),
+            b"".join(self._body),
+            self._signature,
+        )
+        must_close = self._must_close or self._is_spoiled
+        self.current = None
+        self.used_at = self._now()
+        self.answers += 1
+        self._reset_message()
+        if must_close:
+            self._end(Cause.CANCELLED)
+        exchange.finish(Ran(answer))
+        if not self.is_closed:
+            self._on_idle(self)
+
+    def _end(self, cause: Cause) -> None:
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._transport.abort()
+        exchange, self.current = self.current, None
+        self._on_lost(self)
+        if exchange is not None:
+            exchange.fail(cause)
+
+
+class _CrossedError(Exception):
+    """Report an answer that belongs to another exchange."""
