Count a server that ran a request even after it refused a repeat

Ruled out: a hedge (routes of one attempt send none) and a stale configuration (version 6, with one attempt, was in force).

Change: Tries keeps apart where a request may have run and where it was rejected; forwarding and gathering share it. No repeat starts when less than half of the usual time is left.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3
 BIN := .venv/bin
-PACKAGES := packages/core packages/host packages/command packages/standins
+PACKAGES := packages/core packages/host packages/command packages/gateway platform packages/standins
 
 .PHONY: demo test format
 
@@ -17,7 +17,7 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
-.venv/ready: requirements.txt pyproject.toml packages/*/pyproject.toml
+.venv/ready: requirements.txt pyproject.toml packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet "uv==0.13.9"
 	$(BIN)/uv pip install --quiet --requirement requirements.txt
--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -5,7 +5,7 @@
 from crocusbay.state import Cause, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.quantile import QuantileEstimate
-from crocusbay_gateway.coordination.registry import Server
+from crocusbay_gateway.coordination.registry import Registry, Server
 from crocusbay_gateway.protocol import encode_server_request
 from crocusbay_gateway.state import CallerRequest, Route
 from crocusbay_gateway.transport.connection import Exchange
@@ -39,6 +39,47 @@
         self.hedge_after.add(elapsed)
 
 
+class Tries:
+    """Remember where one request, or one part of it, was sent."""
+
+    __slots__ = ("sends", "_open", "_run_on", "_rejected_by")
+
+    def __init__(self) -> None:
+        self.sends = 0
+        self._open: set[str] = set()
+        self._run_on: set[str] = set()
+        self._rejected_by: set[str] = set()
+
+    def choose(self, registry: Registry, service: str, most: int) -> Server | None:
+        """Return the server to ask next, so that at most `most` may run the request.
+
+        A server that has not seen it goes first, then one that rejected it, then one
+        that may have run it.
+        """
+        known = self._run_on | self._open
+        if len(known) < most:
+            server = registry.choose(service, known | self._rejected_by)
+            server = server or registry.choose(service, known)
+            if server is not None:
+                return server
+        again = self._run_on - self._open
+        return registry.choose(service, only=again) if again else None
+
+    def sent(self, server: Server) -> None:
+        """Note a send."""
+        self.sends += 1
+        self._open.add(server.entry.name)
+
+    def ended(self, server: Server, *, may_have_run: bool) -> None:
+        """Note the end of a send."""
+        name = server.entry.name
+        self._open.discard(name)
+        if may_have_run:
+            self._run_on.add(name)
+        else:
+            self._rejected_by.add(name)
+
+
 class Attempt:
     """Send one request to one server; call back once with the verdict."""
 
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -4,7 +4,7 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
-from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming
+from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming, Tries
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.refusal import reply_to_failure
@@ -15,6 +15,8 @@
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 MAX_SENDS = 4
 RETRY_PAUSE_SECONDS = 0.05
+# An attempt with less time left than this part of the usual would only load a server.
+LEAST_SHARE_OF_USUAL = 0.5
 HEDGE_SHARE_OF_EXTRAS = 0.6
 
 
@@ -40,8 +42,7 @@
         self._give_up_at = give_up_at
         self._now = context.timers.now
         self._open: list[Attempt] = []
-        self._tried: set[str] = set()
-        self._sends = 0
+        self._tries = Tries()
         self._failure: Verdict | None = None
         self._failed_answer: ServerAnswer | None = None
         self._done: asyncio.Future[Reply] | None = None
@@ -77,22 +78,16 @@
             self._at(now + self._timing.hedge_after.value, self._hedge)
 
     def _send(self, reason: str) -> bool:
-        exclude = {attempt.server.entry.name for attempt in self._open}
-        server = None
-        if len(self._tried) < self._route.max_attempts:
-            server = self._context.registry.choose(
-                self._service, self._tried | exclude
-            )
-        if server is None and reason == "retry":
-            server = self._choose_tried(exclude)
+        """Send to the best server left; return whether one was there."""
+        registry = self._context.registry
+        server = self._tries.choose(registry, self._service, self._route.max_attempts)
         if server is None:
             return False
         if reason != "first":
             share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
-            budget = self._context.registry.budget(self._service)
-            if not budget.spend(self._now(), share):
+            if not registry.budget(self._service).spend(self._now(), share):
                 return False
-        self._sends += 1
+        self._tries.sent(server)
         self._context.metrics.attempts.labels(reason).inc()
         attempt = Attempt(
             self._context,
@@ -105,20 +100,9 @@
             is_extra=reason != "first",
         )
         self._open.append(attempt)
-        self._tried.add(server.entry.name)
         attempt.send()
         return True
 
-    def _choose_tried(self, exclude: set[str]):
-        others = {
-            server.entry.name
-            for server in self._context.registry.by_service.get(self._service, ())
-            if server.entry.name not in self._tried
-        }
-        if len(self._tried) < self._route.max_attempts:
-            others = set()
-        return self._context.registry.choose(self._service, others | exclude)
-
     def _hedge(self) -> None:
         if self._open and self._send("hedge"):
             self.hedges += 1
@@ -126,6 +110,7 @@
     def _take(self, attempt: Attempt, verdict: Verdict) -> None:
         if attempt in self._open:
             self._open.remove(attempt)
+        self._tries.ended(attempt.server, may_have_run=not isinstance(verdict, NotRun))
         if self._done.done():
             return
         if isinstance(verdict, Ran):
@@ -153,8 +138,6 @@
             cause=verdict.cause,
             detail=verdict.detail,
         )
-        if isinstance(verdict, NotRun):
-            self._tried.discard(attempt.server.entry.name)
         if self._failure is None or isinstance(verdict, MayHaveRun):
             self._failure = verdict
         if verdict == MayHaveRun(Cause.RESET):
@@ -162,11 +145,16 @@
         if self._open:
             return
         may_repeat = self._route.is_idempotent or isinstance(verdict, NotRun)
-        if not may_repeat or self._sends >= MAX_SENDS:
+        if not may_repeat or self._is_too_late() or self._tries.sends >= MAX_SENDS:
             self._fail(self._failure)
         else:
             self._retry()
 
+    def _is_too_late(self) -> bool:
+        """Return whether another attempt could hardly end in time."""
+        left = self._give_up_at - self._now()
+        return left < LEAST_SHARE_OF_USUAL * self._timing.usual.value
+
     def _retry(self) -> None:
         if self._send("retry"):
             self.retries += 1
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -6,7 +6,7 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
-from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming
+from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming, Tries
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import fingerprint
@@ -31,8 +31,7 @@
     answer: ServerAnswer | None = None
     records: list[bytes] = field(default_factory=list)
     open: list[Attempt] = field(default_factory=list)
-    tried: set[str] = field(default_factory=set)
-    sends: int = 0
+    tries: Tries = field(default_factory=Tries)
     has_hedged: bool = False
     is_held: bool = False
     is_failed: bool = False
@@ -98,18 +97,15 @@
 
     def _send(self, leg: Leg, reason: str) -> bool:
         """Send a part to the best server left; return whether one was there."""
-        exclude = {attempt.server.entry.name for attempt in leg.open}
-        if len(leg.tried) >= self._route.max_attempts:
-            server = self._choose_tried(leg, exclude)
-        else:
-            server = self._context.registry.choose(leg.service, leg.tried | exclude)
-            if server is None and reason == "retry":
-                server = self._choose_tried(leg, exclude)
+        registry = self._context.registry
+        server = leg.tries.choose(registry, leg.service, self._route.max_attempts)
         if server is None:
             return False
-        if reason != "first" and not self._may_spend(leg, reason):
-            return False
-        leg.sends += 1
+        if reason != "first":
+            share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
+            if not registry.budget(leg.service).spend(self._now(), share):
+                return False
+        leg.tries.sent(server)
         self._context.metrics.attempts.labels(reason).inc()
         attempt = Attempt(
             self._context,
@@ -122,23 +118,9 @@
             is_extra=reason != "first",
         )
         leg.open.append(attempt)
-        leg.tried.add(server.entry.name)
         attempt.send()
         return True
 
-    def _choose_tried(self, leg: Leg, exclude: set[str]):
-        """Return the best of the servers that the part was offered to before."""
-        others = {
-            server.entry.name
-            for server in self._context.registry.by_service.get(leg.service, ())
-            if server.entry.name not in leg.tried
-        }
-        return self._context.registry.choose(leg.service, others | exclude)
-
-    def _may_spend(self, leg: Leg, reason: str) -> bool:
-        share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
-        return self._context.registry.budget(leg.service).spend(self._now(), share)
-
     def _hedge_late(self) -> None:
         """Send each part that is late to a second server."""
         for leg in self.legs:
@@ -152,6 +134,7 @@
         """Take the verdict of one attempt."""
         if attempt in leg.open:
             leg.open.remove(attempt)
+        leg.tries.ended(attempt.server, may_have_run=not isinstance(verdict, NotRun))
         if leg.answer is not None or self._done.done():
             return
         if isinstance(verdict, Ran) and self._is_part(verdict.answer):
@@ -196,8 +179,6 @@
             cause=verdict.cause,
             detail=verdict.detail,
         )
-        if isinstance(verdict, NotRun):
-            leg.tried.discard(attempt.server.entry.name)
         if leg.failure is None or isinstance(verdict, MayHaveRun):
             leg.failure = verdict
         if verdict == MayHaveRun(Cause.RESET):
@@ -214,7 +195,7 @@
             self._retry(leg, verdict)
 
     def _retry(self, leg: Leg, verdict: Verdict) -> None:
-        if leg.sends >= MAX_SENDS_PER_SHARD:
+        if leg.tries.sends >= MAX_SENDS_PER_SHARD:
             self._fail(leg)
         elif self._send(leg, "retry"):
             self.retries += 1
@@ -256,7 +237,7 @@
         if self._done.done():
             return
         for leg in self.legs:
-            if leg.is_pending and not leg.sends:
+            if leg.is_pending and not leg.tries.sends:
                 self._fail(leg)
         now = self._now()
         decision = self._policy.decide(now, self._parts, self._pending)
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -1,6 +1,6 @@
 """Registry: the servers in force on this host, with connections and health."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from crocusbay.transport.timers import TimerService
@@ -87,12 +87,20 @@
             budget.hosts = self.hosts
         return budget
 
-    def choose(self, service: str, exclude: Iterable[str] = ()) -> Server | None:
+    def choose(
+        self,
+        service: str,
+        exclude: Collection[str] = (),
+        only: Collection[str] | None = None,
+    ) -> Server | None:
         """Return the server to ask next, or None if none may be asked."""
         now = self._timers.now()
         best, best_cost = None, float("inf")
         for server in self.by_service.get(service, ()):
-            if server.entry.name in exclude or not server.health.is_up(now):
+            name = server.entry.name
+            if name in exclude or (only is not None and name not in only):
+                continue
+            if not server.health.is_up(now):
                 continue
             cost = server.cost(now)
             if cost < best_cost:
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -140,9 +140,7 @@
             for name in by_route.keys() - names:
                 del by_route[name]
 
-    def _note(
-        self, request: CallerRequest, route: Route | None, reply: Reply
-    ) -> None:
+    def _note(self, request: CallerRequest, route: Route | None, reply: Reply) -> None:
         now = self._context.timers.now()
         elapsed = now - request.received_at
         name = route.name if route else ""
--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -38,9 +38,7 @@
     async def read_configuration(self) -> ConfigurationChange:
         """Return the configuration in force."""
 
-    async def watch_configuration(
-        self, after: int, wait: float
-    ) -> ConfigurationChange:
+    async def watch_configuration(self, after: int, wait: float) -> ConfigurationChange:
         """Wait for a change (seconds); raise HistoryLostError if it can't be told."""
 
     async def list_servers(self) -> ServersChange:
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
@@ -0,0 +1,238 @@
+"""Replays loads against the decisions, on a virtual clock and with scripted servers."""
+
+import asyncio
+import heapq
+import itertools
+import os
+from dataclasses import dataclass, field, replace
+
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
+from crocusbay.transport.timers import Timer
+from crocusbay_gateway.coordination.attempt import RouteTiming
+from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.registry import Registry
+from crocusbay_gateway.log import DecisionLog
+from crocusbay_gateway.metrics import GatewayMetrics
+from crocusbay_gateway.protocol import Dialect
+from crocusbay_gateway.state import (
+    Bounds,
+    CallerRequest,
+    Configuration,
+    Route,
+    RouteKind,
+    ServerAnswer,
+    ServerEntry,
+    Service,
+    ToService,
+    ToShards,
+)
+
+DIALECT = Dialect(
+    attempt=b"X-Attempt",
+    deadline_ms=b"X-Deadline",
+    signature=b"X-Signature",
+    expected_server=b"X-Expected",
+    server_name=b"X-Server",
+    not_run=b"X-Not-Run",
+    part_signatures=b"X-Parts",
+    missing_parts=b"X-Missing",
+    wrong_server_status=421,
+)
+HOUR = 3_600.0
+
+
+class VirtualTimers:
+    """Stand in for the timer service; time passes when `advance` says so."""
+
+    def __init__(self):
+        self.seconds = HOUR
+        self._heap = []
+        self._order = itertools.count()
+
+    def now(self):
+        return self.seconds
+
+    def at(self, when, callback):
+        timer = Timer(callback)
+        heapq.heappush(self._heap, (when, next(self._order), timer))
+        return timer
+
+    async def advance(self, seconds):
+        """Let time pass, and what is due happen, step by step."""
+        end = self.seconds + seconds
+        await settle()
+        while self._heap and self._heap[0][0] <= end:
+            when, _, timer = heapq.heappop(self._heap)
+            self.seconds = max(self.seconds, when)
+            if not timer.is_cancelled:
+                timer.callback()
+                await settle()
+        self.seconds = end
+
+
+async def settle():
+    """Let every task that can run do so."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@dataclass
+class Script:
+    """Say what a server does: after how long, with what (None: nothing at all)."""
+
+    seconds: float = 0.02
+    verdict: object = "answer"
+    status: int = 200
+    headers: tuple = ()
+    body: bytes = b"r" * 16
+
+
+@dataclass
+class ScriptedPool:
+    """Stand in for the connections to one server."""
+
+    name: str
+    timers: VirtualTimers
+    script: Script = field(default_factory=Script)
+    received: list = field(default_factory=list)
+    share: int = 8
+    has_room: bool = True
+    closed: int = 0
+
+    def submit(self, exchange):
+        self.received.append(exchange)
+        script = self.script
+        if isinstance(script.verdict, NotRun) and script.seconds == 0:
+            exchange.finish(script.verdict)
+            return
+        exchange.is_sent = True
+        exchange.sent_at = self.timers.now()
+        exchange.connection = ScriptedConnection(self, exchange)
+        if script.verdict is None:
+            return
+        self.timers.at(
+            self.timers.now() + script.seconds, lambda: self._end(exchange, script)
+        )
+
+    def close(self):
+        self.closed += 1
+
+    def _end(self, exchange, script):
+        if exchange.connection.current is None:
+            return
+        exchange.connection.current = None
+        if script.verdict == "answer":
+            signature = f"sig-{self.name}".encode()
+            headers = ((DIALECT.signature, signature), *script.headers)
+            exchange.finish(
+                Ran(ServerAnswer(script.status, b"", headers, script.body, signature))
+            )
+        else:
+            exchange.finish(script.verdict)
+
+
+@dataclass
+class ScriptedConnection:
+    """Stand in for the connection that carries one exchange."""
+
+    pool: ScriptedPool
+    current: object
+
+    def close(self, cause=Cause.CANCELLED):
+        self.current = None
+        self.pool.closed += 1
+
+
+class World:
+    """Hold scripted servers of some services, and the context to serve with."""
+
+    def __init__(self, servers_by_service, place="a", bounds=None):
+        self.timers = VirtualTimers()
+        bounds = bounds or Bounds(extra_burst=600.0)
+        self.registry = Registry(place, DIALECT, bounds, self.timers, None)
+        read_end, write_end = os.pipe()
+        self.log_pipe = read_end
+        self.context = Context(
+            DIALECT,
+            self.timers,
+            self.registry,
+            Quarantine(),
+            DecisionLog("test", write_end, self.timers.now),
+            GatewayMetrics(),
+        )
+        services = tuple(Service(name, 50) for name in servers_by_service)
+        self.registry.set_configuration(Configuration(1, (), services))
+        entries = [
+            ServerEntry(name, 1, service, f"10.0.0.{i + 1}:80", places, slots=2)
+            for service, servers in servers_by_service.items()
+            for i, (name, places) in enumerate(servers)
+        ]
+        self.registry.take(entries)
+        self.pool_by_server = {}
+        for servers in self.registry.by_service.values():
+            for server in servers:
+                server.pool = ScriptedPool(server.entry.name, self.timers)
+                self.pool_by_server[server.entry.name] = server.pool
+
+    def script(self, name, **changes):
+        """Change what a server does from now on."""
+        pool = self.pool_by_server[name]
+        pool.script = replace(pool.script, **changes)
+
+    def received(self):
+        """Return how many requests each server got."""
+        return {name: len(p.received) for name, p in self.pool_by_server.items()}
+
+
+def make_route(target, **changes):
+    fields = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/",
+        "kind": RouteKind.IDEMPOTENT,
+        "target": target,
+        "timeout": 1.0,
+        "goal": 0.15,
+        "max_attempts": 2,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_request(world, attempt="a1", deadline=1.0):
+    now = world.timers.now()
+    return CallerRequest(
+        attempt, "GET", "/x", "h", (), b"", now, now + deadline, "10.9.9.9"
+    )
+
+
+async def finish(world, job, seconds=2.0):
+    """Run a job to its end; return the reply and how long it took."""
+    started = world.timers.now()
+    task = asyncio.ensure_future(job.run())
+    await settle()
+    step = 0.001
+    while not task.done() and world.timers.now() < started + seconds:
+        await world.timers.advance(step)
+        await settle()
+    elapsed = world.timers.now() - started
+    if not task.done():
+        task.cancel()
+        await settle()
+        return None, elapsed
+    return task.result(), elapsed
+
+
+__all__ = [
+    "DIALECT",
+    "Cause",
+    "MayHaveRun",
+    "NotRun",
+    "RouteTiming",
+    "ToService",
+    "ToShards",
+    "World",
+    "finish",
+    "make_request",
+    "make_route",
+]
--- a/packages/gateway/crocusbay_gateway/protocol/wire.py
+++ b/packages/gateway/crocusbay_gateway/protocol/wire.py
@@ -25,9 +25,7 @@
 )
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _BODILESS_STATUSES = frozenset({204, 304})
-_REASONS = {
-    status: reason.encode() for status, reason in http.client.responses.items()
-}
+_REASONS = {status: reason.encode() for status, reason in http.client.responses.items()}
 
 
 def forwardable(headers: list[tuple[bytes, bytes]], drop: frozenset[bytes]) -> Headers:
@@ -64,7 +62,9 @@
     return b"".join(lines)
 
 
-def encode_reply(reply: Reply, *, is_head: bool = False, is_last: bool = False) -> bytes:
+def encode_reply(
+    reply: Reply, *, is_head: bool = False, is_last: bool = False
+) -> bytes:
     """Return a reply; `is_last` announces that the connection ends with it."""
     reason = reply.reason or _REASONS.get(reply.status, b"")
     lines = [b"HTTP/1.1 %d %b\r\n" % (reply.status, reason)]
--- a/packages/gateway/crocusbay_gateway/state/configuration.py
+++ b/packages/gateway/crocusbay_gateway/state/configuration.py
@@ -103,7 +103,8 @@
 class Configuration(msgspec.Struct, frozen=True, dict=True):
     """Hold the routes, services and limits of one version.
 
-    >>> route = Route("r", "a.example", "/x/", RouteKind.IDEMPOTENT, ToService("s"), 1, 1)
+    >>> target = ToService("s")
+    >>> route = Route("r", "a.example", "/x/", RouteKind.IDEMPOTENT, target, 1, 1)
     >>> configuration = Configuration(1, (route,), (Service("s", 10),))
     >>> configuration.find("a.example", "/x/1").name
     'r'
