Free a request's parts when it ends

Timers of finished exchanges stayed in the heap until their time (8 s for member-order) and held the request, its legs, bodies and records.

Change: a cancelled timer lets go of its callback, a connection cancels its timer when the exchange ends, an exchange forgets its receiver, and a part keeps only the records that can be in the answer.

--- a/packages/core/crocusbay/transport/timers.py
+++ b/packages/core/crocusbay/transport/timers.py
@@ -21,8 +21,13 @@
         self.is_cancelled = False
 
     def cancel(self) -> None:
-        """End the subscription."""
+        """End the subscription, and let go of what the callback holds."""
         self.is_cancelled = True
+        self.callback = _do_nothing
+
+
+def _do_nothing() -> None:
+    """Stand in for the callback of a timer that was cancelled."""
 
 
 class Ticks:
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from dataclasses import dataclass, field
+from itertools import chain
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
@@ -28,7 +29,7 @@
     """Hold the part of one shard."""
 
     service: str
-    answer: ServerAnswer | None = None
+    signature: bytes = b""
     records: list[bytes] = field(default_factory=list)
     open: list[Attempt] = field(default_factory=list)
     tries: Tries = field(default_factory=Tries)
@@ -40,7 +41,7 @@
     @property
     def is_pending(self) -> bool:
         """Return whether a part may still come."""
-        return self.answer is None and not self.is_failed
+        return not self.signature and not self.is_failed
 
 
 class Gather:
@@ -135,7 +136,7 @@
         if attempt in leg.open:
             leg.open.remove(attempt)
         leg.tries.ended(attempt.server, may_have_run=not isinstance(verdict, NotRun))
-        if leg.answer is not None or self._done.done():
+        if leg.signature or self._done.done():
             return
         if isinstance(verdict, Ran) and self._is_part(verdict.answer):
             self._take_part(leg, verdict.answer)
@@ -147,15 +148,12 @@
         return answer.is_success and bool(answer.signature)
 
     def _take_part(self, leg: Leg, answer: ServerAnswer) -> None:
-        leg.answer = answer
+        leg.signature = answer.signature
         if not leg.is_failed:
             self._pending -= 1
         leg.is_failed = False
-        body = answer.body
-        leg.records = [
-            body[start : start + RECORD_BYTES]
-            for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-        ]
+        # Sorted as they come, so that little is left to do after the last part.
+        leg.records = greatest_records(answer.body, self._target.top)
         self._parts += 1
         for attempt in leg.open:
             attempt.abandon(is_urgent=False)
@@ -282,13 +280,11 @@
             self._context.quarantine.strike(Strike(request, server), self._now())
 
     def _answer(self) -> Reply:
-        parts = [leg for leg in self.legs if leg.answer is not None]
-        records: list[bytes] = []
-        for leg in parts:
-            records += leg.records
+        parts = [leg for leg in self.legs if leg.signature]
+        records = list(chain.from_iterable(leg.records for leg in parts))
         records.sort(reverse=True)
         dialect = self._context.dialect
-        signatures = b", ".join(leg.answer.signature for leg in parts)
+        signatures = b", ".join(leg.signature for leg in parts)
         missing = len(self.legs) - len(parts)
         self._context.metrics.share.labels(self._route.name).observe(
             len(parts) / len(self.legs)
@@ -319,6 +315,17 @@
         return reply_to_failure(NotRun(Cause.NO_UPSTREAM), left)
 
 
+def greatest_records(body: bytes, top: int) -> list[bytes]:
+    """Return the greatest records of a part, greatest first.
+
+    >>> greatest_records(b"a" * 16 + b"b" * 16 + b"rest", 1) == [b"b" * 16]
+    True
+    """
+    ends = range(RECORD_BYTES, len(body) + 1, RECORD_BYTES)
+    records = sorted((body[end - RECORD_BYTES : end] for end in ends), reverse=True)
+    return records[:top]
+
+
 def least_parts(target: ToShards) -> int:
     """Return how many parts a success needs.
 
--- a/packages/gateway/crocusbay_gateway/protocol/wire.py
+++ b/packages/gateway/crocusbay_gateway/protocol/wire.py
@@ -1,7 +1,7 @@
 """Wire: requests to servers and replies to callers as HTTP/1.1 bytes."""
 
-import http.client
 import math
+from http import HTTPStatus
 
 from crocusbay_gateway.protocol.dialect import Dialect
 from crocusbay_gateway.state import CallerRequest, Reply
@@ -25,7 +25,7 @@
 )
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _BODILESS_STATUSES = frozenset({204, 304})
-_REASONS = {status: reason.encode() for status, reason in http.client.responses.items()}
+_REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
 
 
 def forwardable(headers: list[tuple[bytes, bytes]], drop: frozenset[bytes]) -> Headers:
--- a/packages/gateway/crocusbay_gateway/transport/connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/connection.py
@@ -6,6 +6,7 @@
 import httptools
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
+from crocusbay.transport.timers import Timer
 from crocusbay_gateway.state import ServerAnswer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -61,7 +62,8 @@
         if self.is_done:
             return
         self.is_done = True
-        self._deliver(self, verdict)
+        deliver, self._deliver, self.data = self._deliver, None, b""
+        deliver(self, verdict)
 
     def fail(self, cause: Cause, detail: str = "") -> None:
         """Deliver a failure that says whether the request may have run."""
@@ -85,6 +87,7 @@
         self.answers = 0
         self.idle_limit: float | None = None
         self.is_closed = False
+        self.timer: Timer | None = None
         self._attempt_header = attempt_header.lower()
         self._signature_header = signature_header.lower()
         self._on_idle = on_idle
@@ -96,6 +99,12 @@
         self._is_in_message = False
         self._reset_message()
 
+    def stop_timer(self) -> None:
+        """Cancel the timer of the exchange that has ended."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def send(self, exchange: Exchange) -> None:
         """Write one request."""
         self.current = exchange
--- a/packages/gateway/crocusbay_gateway/transport/pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/pool.py
@@ -107,8 +107,10 @@
 
     def _send(self, connection: ServerConnection, exchange: Exchange) -> None:
         connection.send(exchange)
-        overdue_at = exchange.deadline + OVERDUE_SECONDS
-        self._timers.at(overdue_at, lambda: self._close_overdue(connection, exchange))
+        connection.timer = self._timers.at(
+            exchange.deadline + OVERDUE_SECONDS,
+            lambda: self._close_overdue(connection, exchange),
+        )
 
     def _close_overdue(self, connection: ServerConnection, exchange: Exchange) -> None:
         if connection.current is exchange:
@@ -155,6 +157,7 @@
         self._on_idle(connection)
 
     def _on_idle(self, connection: ServerConnection) -> None:
+        connection.stop_timer()
         while self._waiting:
             exchange = self._waiting.popleft()
             if exchange.is_done:
@@ -170,6 +173,7 @@
         self._idle.append(connection)
 
     def _on_lost(self, connection: ServerConnection) -> None:
+        connection.stop_timer()
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
