Back off silent servers, hedge by the usual time, start quicker

The hedge followed the 92nd percentile, which rises to its cap when many servers are slow. After a restart the first call to the store waited for 0.6 s.

Ruled out: the budget of extras (hedges were sent), and the limits of connections.

Change: an attempt that stays unanswered 0.3 s after it was needed counts as silent and backs its server off for 0.5 s at first; where all servers are backed off, one that carries nothing is tried; a hedge goes after 2.2 usual times at the latest; the first call after 0.25 s. In an outage only the first ranks ask for the store, so that its price does not grow with the hosts.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from crocusbay.state import Cause, NotRun, Ran, Verdict
+from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.quantile import QuantileEstimate
 from crocusbay_gateway.coordination.registry import Registry, Server
@@ -16,6 +16,8 @@
 # A hedge earlier than this share of the goal would mostly repeat healthy work.
 LEAST_HEDGE_SHARE = 0.12
 MOST_HEDGE_SHARE = 0.55
+# Beyond this many usual times an attempt is late, however many others are late too.
+LATE_USUALS = 2.2
 # A request that its caller no longer waits for keeps a server at most this long.
 LOSER_SECONDS = 0.3
 
@@ -33,6 +35,12 @@
             high=MOST_HEDGE_SHARE * goal,
         )
 
+    @property
+    def late_after(self) -> float:
+        """Return the time after which an attempt is late."""
+        bound = max(self.hedge_after.low, LATE_USUALS * self.usual.value)
+        return min(bound, self.hedge_after.value)
+
     def add(self, elapsed: float) -> None:
         """Take the time of a first attempt, finished or given up."""
         self.usual.add(elapsed)
@@ -117,7 +125,7 @@
             self._finish,
             is_sole=not route.is_idempotent,
         )
-        overdue_at = now + 2 * timing.hedge_after.value
+        overdue_at = now + 2 * timing.late_after
         server.health.sent(self.exchange, overdue_at)
 
     def send(self) -> None:
@@ -141,7 +149,17 @@
             return
         # Stays part of the server's load until it answers or is cut.
         exchange.redirect(self._finish_unheard)
-        self._context.timers.at(now + LOSER_SECONDS, self._cut)
+        self._context.timers.at(now + LOSER_SECONDS, self._cut_silent)
+
+    def _cut_silent(self) -> None:
+        """End an attempt that stayed unanswered long after it was needed."""
+        if self.exchange.is_done:
+            return
+        now = self._context.timers.now()
+        self.server.health.learn(
+            MayHaveRun(Cause.SILENT), 0.0, self._timing.usual.value, now
+        )
+        self._cut()
 
     def _cut(self) -> None:
         exchange = self.exchange
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -75,7 +75,7 @@
             self._fail(NotRun(cause))
             return
         if self._route.is_idempotent and self._route.max_attempts > 1:
-            self._at(now + self._timing.hedge_after.value, self._hedge)
+            self._at(now + self._timing.late_after, self._hedge)
 
     def _send(self, reason: str) -> bool:
         """Send to the best server left; return whether one was there."""
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -92,8 +92,9 @@
         for leg in self.legs:
             self._context.registry.budget(leg.service).note_request(now)
         for leg in self.legs:
-            self._send(leg, "first")
-        self._at(now + self._timing.hedge_after.value, self._hedge_late)
+            if not self._send(leg, "first"):
+                self._fail(leg)
+        self._at(now + self._timing.late_after, self._hedge_late)
         self._check()
 
     def _send(self, leg: Leg, reason: str) -> bool:
@@ -234,9 +235,6 @@
         """Decide on the parts that are in, now or when time alone decides."""
         if self._done.done():
             return
-        for leg in self.legs:
-            if leg.is_pending and not leg.tries.sends:
-                self._fail(leg)
         now = self._now()
         decision = self._policy.decide(now, self._parts, self._pending)
         if decision is not Decision.WAIT:
--- a/packages/gateway/crocusbay_gateway/coordination/health.py
+++ b/packages/gateway/crocusbay_gateway/coordination/health.py
@@ -15,6 +15,9 @@
 FORGET_SECONDS = 4.0
 BACKOFF_FIRST_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 2.0
+# A silent server costs each request that tries it a hedge, a refusing one next to
+# nothing.
+SILENT_FIRST_SECONDS = 0.5
 SHED_SECONDS = 0.05
 # In units of one usual request: what a failure, an overdue answer, a server that just
 # started and a server in another data centre add to the expected cost.
@@ -87,6 +90,9 @@
                 self._back_off(now)
             case MayHaveRun(Cause.CANCELLED | Cause.DEADLINE) | NotRun():
                 return
+            case MayHaveRun(Cause.SILENT):
+                self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate)
+                self._back_off(now, SILENT_FIRST_SECONDS)
             case MayHaveRun():
                 self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate)
                 self._failures += 1
@@ -120,8 +126,8 @@
         self.failure_rate *= age
         self._observed_at = now
 
-    def _back_off(self, now: float) -> None:
+    def _back_off(self, now: float, first: float = BACKOFF_FIRST_SECONDS) -> None:
         self._failures += 1
-        wait = BACKOFF_FIRST_SECONDS * 2 ** min(self._failures - 1, 8)
+        wait = first * 2 ** min(self._failures - 1, 8)
         wait = min(BACKOFF_MAX_SECONDS, wait) * random.uniform(0.8, 1.2)
         self._down_until = now + wait
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -82,19 +82,21 @@
         return tuple(KnownHost(s.name, s.peer_address) for s in self.live)
 
     def rank(self, own_reaches_store: bool) -> int:
-        """Return this host's place among those that reach the store.
+        """Return this host's place: those that reach the store go first.
 
-        The order is by a hash, so that it does not follow the data centres' names.
+        The order among them is by a hash, so that it does not follow the data
+        centres' names.
         """
-        rivals = [
-            status.name
+        own = (not own_reaches_store, _order(self.name))
+        return sum(
+            (not status.reaches_store, _order(status.name)) < own
             for status in self.live
-            if status.reaches_store and not status.is_leaving
-        ]
-        if not own_reaches_store:
-            return len(rivals)
-        own = _order(self.name)
-        return sum(_order(name) < own for name in rivals)
+            if not status.is_leaving
+        )
+
+    def is_store_reached(self, own_reaches_store: bool) -> bool:
+        """Return whether any host heard lately reaches the store."""
+        return own_reaches_store or any(status.reaches_store for status in self.live)
 
 
 def _order(name: str) -> int:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -12,6 +12,8 @@
 
 # Left free for connections that a host has closed and the server not yet noticed.
 CONNECTION_HEADROOM = 0.1
+# More than any server that is up can cost.
+DOWN_COST = 1_000.0
 # Until a host has heard the others it takes no more than this part of a limit.
 LEAST_HOSTS = 3
 
@@ -93,16 +95,21 @@
         exclude: Collection[str] = (),
         only: Collection[str] | None = None,
     ) -> Server | None:
-        """Return the server to ask next, or None if none may be asked."""
+        """Return the server to ask next, or None if none may be asked.
+
+        Where every server is backed off, one that carries nothing is tried.
+        """
         now = self._timers.now()
         best, best_cost = None, float("inf")
         for server in self.by_service.get(service, ()):
             name = server.entry.name
             if name in exclude or (only is not None and name not in only):
                 continue
-            if not server.health.is_up(now):
-                continue
             cost = server.cost(now)
+            if not server.health.is_up(now):
+                if server.health.in_flight:
+                    continue
+                cost += DOWN_COST
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
--- a/packages/gateway/crocusbay_gateway/coordination/watching.py
+++ b/packages/gateway/crocusbay_gateway/coordination/watching.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.store import (
     HistoryLostError,
     Store,
@@ -24,13 +25,25 @@
 MAX_STALE_SECONDS = 2.2
 IDLE_CHECK_SECONDS = 0.1
 # A host that has just started hears of the others first.
-FIRST_CALL_SECONDS = 0.6
+FIRST_CALL_SECONDS = 0.25
 RETRY_SECONDS = 0.3
-MAX_RETRY_SECONDS = 1.0
+MAX_RETRY_SECONDS = 0.6
+# Hosts of these ranks poll once their view is old; so many that one of them probably
+# reaches a store that turns a third of the hosts away.
+RANKS_IN_DOUBT = 4
+# While no host reaches the store, only these ask whether it is back.
+RANKS_IN_OUTAGE = 2
+# A host that was turned away this long ago may be served again.
+FORGIVE_SECONDS = 4.0
 
 
-def should_watch(rank: int, age: float, uptime: float) -> bool:
-    """Return whether a host of this rank polls, given its view's age (seconds)."""
+def should_watch(rank: int, age: float, uptime: float, *, is_reached: bool) -> bool:
+    """Return whether a host of this rank polls, given its view's age (seconds).
+
+    `is_reached` tells whether any host is known to reach the store.
+    """
+    if rank >= (RANKS_IN_DOUBT if is_reached else RANKS_IN_OUTAGE):
+        return False
     if rank == 0:
         return uptime >= FIRST_CALL_SECONDS
     patience = min(MAX_STALE_SECONDS, STALE_SECONDS + STALE_PER_RANK_SECONDS * rank)
@@ -45,22 +58,31 @@
         store: Store,
         configuration: ConfigurationView,
         servers: ServersView,
-        rank: Callable[[], int],
+        membership: Membership,
         timers: TimerService,
         on_change: Callable[[str], None],
         on_store: Callable[[bool, str], None],
     ) -> None:
-        self.reaches_store = True
         self._store = store
         self._configuration = configuration
         self._servers = servers
-        self._rank = rank
+        self._membership = membership
         self._timers = timers
         self._on_change = on_change
         self._on_store = on_store
         self._started_at = timers.now()
         self._configuration_seen = 0
         self._failures = 0
+        self._is_lost = False
+        self._tried_at = float("-inf")
+
+    @property
+    def reaches_store(self) -> bool:
+        """Return whether the store answers this host, as far as it knows."""
+        return not self._is_lost or self._is_forgiven()
+
+    def _is_forgiven(self) -> bool:
+        return self._timers.now() - self._tried_at > FORGIVE_SECONDS
 
     async def watch_configuration(self) -> None:
         """Follow the configuration until cancelled."""
@@ -83,23 +105,31 @@
 
     def _is_due(self, age: float) -> bool:
         uptime = self._timers.now() - self._started_at
-        return should_watch(self._rank(), age, uptime)
+        reaches = self.reaches_store
+        return should_watch(
+            self._membership.rank(reaches),
+            age,
+            uptime,
+            is_reached=self._membership.is_store_reached(reaches),
+        )
 
     async def _guard(self, poll: Callable) -> bool:
         """Run one poll; note whether the store was reached, and pause if not."""
         try:
+            self._tried_at = self._timers.now()
             await poll()
         except StoreUnavailableError as error:
+            self._tried_at = self._timers.now()
             self._failures += 1
-            if self.reaches_store:
-                self.reaches_store = False
+            if not self._is_lost:
+                self._is_lost = True
                 self._on_store(False, str(error))
             pause = min(MAX_RETRY_SECONDS, RETRY_SECONDS * self._failures)
             await self._timers.sleep(pause)
             return False
         self._failures = 0
-        if not self.reaches_store:
-            self.reaches_store = True
+        if self._is_lost:
+            self._is_lost = False
             self._on_store(True, "")
         return True
 
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -163,7 +163,7 @@
             self._store,
             self.configuration,
             self.servers,
-            self._rank,
+            self.membership,
             self.timers,
             lambda view: self._send_beat(),
             self._note_store,
@@ -210,9 +210,6 @@
         configuration = self.configuration.configuration
         return configuration.limits if configuration else Limits()
 
-    def _rank(self) -> int:
-        return self.membership.rank(self.watching.reaches_store)
-
     def _take_configuration(self, configuration) -> None:
         self.log.info(
             "configuration-in-force",
