Beat in turn within a data centre, bridge between them, name the fastest hosts

Change: beats go to nine hosts of the own data centre in turn; two hosts of each, by rank of a hash, beat to the others; silent seeds are asked seldom; a host says how long it takes for a hundred parts, and callers are named the fastest, so many that they carry the load.

--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -12,6 +12,8 @@
 
 # Left free for connections that a host has closed and the server not yet noticed.
 CONNECTION_HEADROOM = 0.1
+# Of a server's limit, what the hosts that carry a data centre's load divide by it.
+PART_OF_LIMIT = 0.25
 # More than any server that is up can cost.
 DOWN_COST = 1_000.0
 # Until a host has heard the others it takes no more than this part of a limit.
@@ -46,6 +48,7 @@
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
         self.hosts = 1
+        self._part = 0.0
         self._place = place
         self._dialect = dialect
         self._bounds = bounds
@@ -62,11 +65,17 @@
         }
         self._set_shares()
 
-    def set_hosts(self, hosts: int) -> None:
-        """Divide limits and budgets among so many hosts."""
-        if hosts == self.hosts:
+    def set_hosts(self, hosts: int, part: float = 0.0) -> None:
+        """Divide limits and budgets among so many hosts.
+
+        `part` is this host's of the load of its data centre: most of the others may
+        carry none.
+        """
+        part = round(part, 1)
+        if (hosts, part) == (self.hosts, self._part):
             return
         self.hosts = hosts
+        self._part = part
         for budget in self._budget_by_service.values():
             budget.hosts = hosts
         self._set_shares()
@@ -166,7 +175,8 @@
     def _share(self, service: str) -> int:
         limit = self._limit_by_service.get(service, LEAST_HOSTS)
         usable = int(limit * (1.0 - CONNECTION_HEADROOM))
-        return max(1, usable // max(self.hosts, LEAST_HOSTS))
+        even = usable // max(self.hosts, LEAST_HOSTS)
+        return max(1, even, int(usable * PART_OF_LIMIT * self._part))
 
     def _set_shares(self) -> None:
         for server in self._by_name.values():
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_watching.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_watching.py
@@ -1,6 +1,6 @@
 import pytest
 
-from crocusbay_gateway.coordination.membership import LOST_SECONDS, Membership
+from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.watching import should_watch
 from crocusbay_gateway.state import HostStatus
 
@@ -15,7 +15,7 @@
     """Return the hosts that poll, if those named reach the store."""
     found = []
     for own in HOSTS:
-        membership = Membership(own, 1)
+        membership = Membership(own, "a", 1)
         for name in HOSTS:
             membership.take(
                 status(
@@ -61,9 +61,9 @@
 
 
 def test_host_that_hears_nobody_polls_for_itself():
-    membership = Membership("host-0", 1)
+    membership = Membership("host-0", "a", 1)
     for name in HOSTS:
         membership.take(status(name), 0.0)
-    membership.tick(LOST_SECONDS + 0.1)
+    membership.tick(membership.lost_after + 0.1)
     rank = membership.rank(True)
     assert should_watch(rank, 0.0, 10.0, is_reached=True)
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -1,6 +1,5 @@
 """Gateway: wires one process together and runs it until it is told to stop."""
 
-import random
 import time
 from dataclasses import replace
 from typing import Protocol
@@ -10,12 +9,12 @@
 from crocusbay.state import split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.context import Context
-from crocusbay_gateway.coordination.entry import EntryCandidate, choose_entries
-from crocusbay_gateway.coordination.membership import (
-    BEAT_SECONDS,
-    Membership,
-    pick_contacts,
+from crocusbay_gateway.coordination.entry import (
+    EntryCandidate,
+    choose_entries,
+    gather_time,
 )
+from crocusbay_gateway.coordination.membership import BEAT_SECONDS, Membership
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.service import RequestService
@@ -35,6 +34,8 @@
 
 # Hearsay travels with one beat in so many.
 KNOWN_EVERY_BEATS = 4
+# Of a host that hears others and does not beat to other data centres.
+SEEDS_EVERY_BEATS = 40
 # One way between hosts, subtracted from what a peer says of its view's age.
 PEER_WAY_SECONDS = 0.01
 LOAD_GAIN = 0.2
@@ -78,7 +79,7 @@
         self.is_leaving = False
         self.configuration = ConfigurationView()
         self.servers = ServersView()
-        self.membership = Membership(settings.name, time.time_ns())
+        self.membership = Membership(settings.name, settings.place, time.time_ns())
         self._dialect = dialect
         self._store = store
         self._entry_codec = entry_codec
@@ -86,6 +87,7 @@
         self._load = 0.0
         self._served_before = 0
         self._is_fetching = False
+        self._gather_time = gather_time(settings.cores, settings.link_mbps)
         self._stop = anyio.Event()
         self._was_ready = False
 
@@ -258,6 +260,7 @@
             is_leaving=self.is_leaving,
             reaches_store=self.watching.reaches_store,
             load=round(self._load, 1),
+            gather_time=self._gather_time,
             configuration_revision=self.configuration.revision,
             configuration_age=self.configuration.age(now),
             servers_revision=self.servers.revision,
@@ -273,42 +276,72 @@
             self._load += LOAD_GAIN * (rate - self._load)
             for status in self.membership.tick(now):
                 self.log.warning("host-lost", peer=status.name, beat=status.beat)
-            self.registry.set_hosts(self.membership.host_count)
+            self._set_hosts()
             self._send_beat()
             self._set_gauges(now)
             self.log.flush()
 
     def _send_beat(self) -> None:
+        """Beat to the hosts whose turn it is, and now and then to silent seeds.
+
+        A host that hears nobody tries the seeds each time. Later, those that beat to
+        other data centres do so for all.
+        """
         self._beat += 1
-        known = self.membership.known() if self._beat % KNOWN_EVERY_BEATS == 1 else ()
-        strikes = self.quarantine.recent(self.timers.now())
-        beat = Beat(self._status(), known, strikes)
-        self.peers.send(beat, self._contacts())
-
-    def _contacts(self) -> list[str]:
-        addresses = set(self.membership.contacts_by_name.values())
-        if self._beat % KNOWN_EVERY_BEATS == 1 or not addresses:
-            addresses |= {
-                f"{ip}:{split_address(self._peer_address)[1]}"
-                for ip in self.settings.seed_ips
-            }
-        addresses.discard(self._peer_address)
-        return pick_contacts(sorted(addresses), random.sample)
+        self._send_beat_to(self.membership.addresses())
+        every = KNOWN_EVERY_BEATS if self.membership.is_bridge else SEEDS_EVERY_BEATS
+        if not self.membership.live or self._beat % every == 1:
+            self._send_beat_to(self._seed_addresses())
+
+    def _send_beat_to(self, addresses: list[str]) -> None:
+        is_known_due = self._beat % KNOWN_EVERY_BEATS == 1
+        beat = Beat(
+            self._status(),
+            self.membership.known() if is_known_due else (),
+            self.quarantine.recent(self.timers.now()),
+            self.membership.hosts_by_place if is_known_due else {},
+        )
+        self.peers.send(beat, addresses)
+
+    def _seed_addresses(self) -> list[str]:
+        """Return the seeds that were not heard, as all are at a start."""
+        heard = {status.peer_address for status in self.membership.live}
+        port = split_address(self._peer_address)[1]
+        seeds = {f"{ip}:{port}" for ip in self.settings.seed_ips}
+        return sorted(seeds - heard - {self._peer_address})
 
     def _take_beat(self, beat: Beat) -> None:
         now = self.timers.now()
         status = beat.sender
         if self.membership.take(status, now):
             self.log.info("host-found", peer=status.name, place=status.place)
-            self.registry.set_hosts(self.membership.host_count)
-            self._send_beat()
+            self._set_hosts()
+            answer = Beat(
+                self._status(),
+                self.membership.known(),
+                (),
+                self.membership.hosts_by_place,
+            )
+            self.peers.send(answer, [status.peer_address])
         for known in beat.known:
             self.membership.take_contact(known)
+        self.membership.take_counts(status.place, beat.hosts_by_place)
         for strike in beat.strikes:
             if self.quarantine.strike(strike, now):
                 self.log.warning("quarantined", fingerprint=strike.fingerprint)
         self._compare_views(status, now)
 
+    def _set_hosts(self) -> None:
+        """Divide limits by the hosts there are, and by the load of those beside."""
+        beside = [
+            status.load
+            for status in self.membership.live
+            if status.place == self.settings.place
+        ]
+        total = self._load + sum(beside)
+        part = self._load / total if total else 0.0
+        self.registry.set_hosts(self.membership.host_count, part)
+
     def _compare_views(self, status: HostStatus, now: float) -> None:
         """Take a peer's word that a view is right, or fetch what is newer."""
         lacks = status.configuration_revision > self.configuration.revision
@@ -371,7 +404,7 @@
 
     async def _follow_hosts(self) -> None:
         """Announce this host in the store and find the others there."""
-        own = KnownHost(self.settings.name, self._peer_address)
+        own = KnownHost(self.settings.name, self._peer_address, self.settings.place)
         is_announced = False
         while True:
             try:
@@ -404,6 +437,7 @@
                 status.caller_address,
                 status.place,
                 status.load,
+                status.gather_time,
                 status.is_ready,
                 status.is_leaving,
             )
@@ -414,6 +448,7 @@
                 self.settings.caller_address,
                 self.settings.place,
                 self._load,
+                self._gather_time,
                 self.is_ready,
                 self.is_leaving,
             )
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -10,6 +10,7 @@
 
     name: str
     peer_address: str
+    place: str = ""
 
 
 class Strike(msgspec.Struct, frozen=True, array_like=True):
@@ -25,6 +26,7 @@
     sender: HostStatus
     known: tuple[KnownHost, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    hosts_by_place: dict[str, int] = {}
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -6,7 +6,9 @@
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
     """Describe one host; a later incarnation or beat replaces an earlier (seconds).
 
-    `*_revision` is the store's revision of what the host holds, and `*_age` the time
+    `load` is in requests a second; `gather_time` is what the host itself takes for one
+    request to a hundred shards. `*_revision` is the store's revision of what the host
+    holds, and `*_age` the time
     since the store last confirmed it.
     """
 
@@ -20,6 +22,7 @@
     is_leaving: bool = False
     reaches_store: bool = True
     load: float = 0.0
+    gather_time: float = 0.0
     configuration_revision: int = 0
     configuration_age: float = 1e9
     servers_revision: int = 0
