--- a/packages/gateway/crocusbay_gateway/coordination/budget.py
+++ b/packages/gateway/crocusbay_gateway/coordination/budget.py
@@ -14,8 +14,8 @@
 # the extras that a host sent before it was started anew.
 RATIO_SAFETY = 0.8
 BURST_SAFETY = 0.45
-# A host that has not heard the others yet takes no part of the burst.
-LEAST_HOSTS = 3
+# A host that has not heard the others yet takes this part of the burst.
+FIRST_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -26,10 +26,13 @@
 
 
 class ExtraBudget:
-    """Bound the extras of one service on this host (seconds)."""
+    """Bound the extras of one service on this host (seconds).
+
+    `share` is this host's part of the burst that all hosts may send together.
+    """
 
     def __init__(self, bounds: Bounds) -> None:
-        self.hosts = LEAST_HOSTS
+        self.share = FIRST_SHARE
         self._bounds = bounds
         self._buckets: deque[_Bucket] = deque()
 
@@ -51,7 +54,7 @@
         bucket = self._bucket(now)
         oldest = bucket.number - int(self._bounds.extra_window / BUCKET_SECONDS) + 1
         requests = sum(each.requests for each in self._buckets if each.number >= oldest)
-        burst = BURST_SAFETY * self._bounds.extra_burst / max(self.hosts, LEAST_HOSTS)
+        burst = BURST_SAFETY * self._bounds.extra_burst * self.share
         return RATIO_SAFETY * self._bounds.extra_ratio * requests + burst
 
     def _bucket(self, now: float) -> _Bucket:
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -88,7 +88,7 @@
             if not registry.budget(self._service).spend(self._now(), share):
                 return False
         self._tries.sent(server)
-        self._context.metrics.attempts.labels(reason).inc()
+        self._context.metrics.attempts.inc(reason)
         attempt = Attempt(
             self._context,
             self._request,
@@ -128,7 +128,7 @@
         )
 
     def _take_failure(self, attempt: Attempt, verdict: Verdict) -> None:
-        self._context.metrics.attempt_failures.labels(verdict.cause).inc()
+        self._context.metrics.attempt_failures.inc(verdict.cause)
         self._context.log.info(
             "attempt-failed",
             request=self._request.attempt,
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -108,7 +108,7 @@
             if not registry.budget(leg.service).spend(self._now(), share):
                 return False
         leg.tries.sent(server)
-        self._context.metrics.attempts.labels(reason).inc()
+        self._context.metrics.attempts.inc(reason)
         attempt = Attempt(
             self._context,
             self._request,
@@ -164,7 +164,7 @@
 
     def _take_failure(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
         cause = getattr(verdict, "cause", "status")
-        self._context.metrics.attempt_failures.labels(cause).inc()
+        self._context.metrics.attempt_failures.inc(cause)
         if isinstance(verdict, Ran):
             verdict = MayHaveRun(
                 Cause.PROTOCOL, detail=f"status {verdict.answer.status}"
@@ -284,8 +284,8 @@
         dialect = self._context.dialect
         signatures = b", ".join(leg.signature for leg in parts)
         missing = len(self.legs) - len(parts)
-        self._context.metrics.share.labels(self._route.name).observe(
-            len(parts) / len(self.legs)
+        self._context.metrics.share.observe(
+            len(parts) / len(self.legs), self._route.name
         )
         return Reply(
             200,
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -14,6 +14,8 @@
 CONNECTION_HEADROOM = 0.1
 # Of a server's limit, what the hosts that carry a data centre's load divide by it.
 PART_OF_LIMIT = 0.25
+# Of an even share of the extras, what a host without load may use.
+LEAST_BURST_SHARE = 0.5
 # More than any server that is up can cost.
 DOWN_COST = 1_000.0
 # Until a host has heard the others it takes no more than this part of a limit.
@@ -47,8 +49,7 @@
         spawn: Callable,
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
-        self.hosts = 1
-        self._part = 0.0
+        self._division = (1, 0.0, 1)
         self._place = place
         self._dialect = dialect
         self._bounds = bounds
@@ -65,19 +66,18 @@
         }
         self._set_shares()
 
-    def set_hosts(self, hosts: int, part: float = 0.0) -> None:
-        """Divide limits and budgets among so many hosts.
+    def set_hosts(self, hosts: int, part: float = 0.0, places: int = 1) -> None:
+        """Divide limits and budgets among so many hosts of so many data centres.
 
         `part` is this host's of the load of its data centre: most of the others may
         carry none.
         """
-        part = round(part, 1)
-        if (hosts, part) == (self.hosts, self._part):
+        division = (hosts, round(part, 1), places)
+        if division == self._division:
             return
-        self.hosts = hosts
-        self._part = part
+        self._division = division
         for budget in self._budget_by_service.values():
-            budget.hosts = hosts
+            budget.share = self._burst_share()
         self._set_shares()
 
     def take(self, entries: Iterable[ServerEntry]) -> None:
@@ -95,7 +95,7 @@
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = self._budget_by_service[service] = ExtraBudget(self._bounds)
-            budget.hosts = self.hosts
+            budget.share = self._burst_share()
         return budget
 
     def choose(
@@ -175,8 +175,14 @@
     def _share(self, service: str) -> int:
         limit = self._limit_by_service.get(service, LEAST_HOSTS)
         usable = int(limit * (1.0 - CONNECTION_HEADROOM))
-        even = usable // max(self.hosts, LEAST_HOSTS)
-        return max(1, even, int(usable * PART_OF_LIMIT * self._part))
+        hosts, part, _ = self._division
+        even = usable // max(hosts, LEAST_HOSTS)
+        return max(1, even, int(usable * PART_OF_LIMIT * part))
+
+    def _burst_share(self) -> float:
+        """Return this host's part of the extras: by its load, or the least."""
+        hosts, part, places = self._division
+        return max(LEAST_BURST_SHARE / max(hosts, LEAST_HOSTS), part / places)
 
     def _set_shares(self) -> None:
         for server in self._by_name.values():
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -145,7 +145,7 @@
         elapsed = now - request.received_at
         name = route.name if route else ""
         outcome = reply.outcome.partition(" ")[0]
-        self._context.metrics.latency.labels(name, outcome).observe(elapsed)
+        self._context.metrics.latency.observe(elapsed, name, outcome)
         write: Callable = (
             self._context.log.info if reply.status < 400 else self._context.log.warning
         )
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -46,7 +46,7 @@
 # Callers keep an answer up to three times as long; a short life frees them of a host
 # that is leaving, and a question costs little.
 ENTRY_LIFETIME_SECONDS = 1.0
-HOSTS_SECONDS = 20.0
+HOSTS_SECONDS = 2.0
 
 
 class EntryCodec(Protocol):
@@ -340,7 +340,8 @@
         ]
         total = self._load + sum(beside)
         part = self._load / total if total else 0.0
-        self.registry.set_hosts(self.membership.host_count, part)
+        places = len(self.membership.hosts_by_place)
+        self.registry.set_hosts(self.membership.host_count, part, places)
 
     def _compare_views(self, status: HostStatus, now: float) -> None:
         """Take a peer's word that a view is right, or fetch what is newer."""
@@ -403,26 +404,29 @@
         )
 
     async def _follow_hosts(self) -> None:
-        """Announce this host in the store and find the others there."""
-        own = KnownHost(self.settings.name, self._peer_address, self.settings.place)
+        """Leave a way to this data centre in the store, and find others there.
+
+        The hosts that beat to other data centres suffice as a way in. They are looked
+        up only by a host that the seeds lead to nobody.
+        """
         is_announced = False
-        while True:
+        own = KnownHost(self.settings.name, self._peer_address, self.settings.place)
+        async for _ in self.timers.every(HOSTS_SECONDS, jitter=0.2):
             try:
-                if not is_announced:
+                if not is_announced and self.membership.is_bridge:
                     await self._store.announce(own)
                     is_announced = True
-                    hosts = await self._store.list_hosts()
-                    for host in hosts:
+                if not self.membership.live:
+                    for host in await self._store.list_hosts():
                         self.membership.take_contact(host)
             except StoreUnavailableError as error:
                 self.log.info("hosts-not-read", reason=str(error))
-            await self.timers.sleep(HOSTS_SECONDS if is_announced else 2.0)
 
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live))
         self.metrics.running.set(self.requests.running)
-        self.metrics.view_age.labels("configuration").set(self.configuration.age(now))
-        self.metrics.view_age.labels("servers").set(self.servers.age(now))
+        self.metrics.view_age.set(self.configuration.age(now), "configuration")
+        self.metrics.view_age.set(self.servers.age(now), "servers")
 
     def _ready_page(self, target: str) -> Reply:
         return Reply(200 if self.is_ready and not self.is_leaving else 503)
--- a/packages/gateway/crocusbay_gateway/log.py
+++ b/packages/gateway/crocusbay_gateway/log.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-import logbook
 import msgspec
 
 # Lines a second for each level; a failure is worth more than a success when a choice
 # must be made. The sum is some 30 KB a second.
-BURST_BY_LEVEL = {logbook.INFO: 40.0, logbook.WARNING: 60.0, logbook.ERROR: 60.0}
+LINES_BY_LEVEL = {"info": 40.0, "warning": 60.0, "error": 60.0}
 MAX_UNWRITTEN_BYTES = 256 * 1024
 REPORT_SECONDS = 5.0
 
@@ -52,21 +51,21 @@
         self._unwritten = b""
         self._reported_at = now()
         self._allowance_by_level = {
-            level: _Allowance(rate) for level, rate in BURST_BY_LEVEL.items()
+            level: _Allowance(rate) for level, rate in LINES_BY_LEVEL.items()
         }
         os.set_blocking(descriptor, False)
 
     def info(self, event: str, **fields: Any) -> None:
         """Write a decision that went well."""
-        self._write(logbook.INFO, event, fields)
+        self._write("info", event, fields)
 
     def warning(self, event: str, **fields: Any) -> None:
         """Write a refusal, a failure or a lost dependency."""
-        self._write(logbook.WARNING, event, fields)
+        self._write("warning", event, fields)
 
     def error(self, event: str, **fields: Any) -> None:
         """Write a fault of this program."""
-        self._write(logbook.ERROR, event, fields)
+        self._write("error", event, fields)
 
     def flush(self) -> None:
         """Write what the reader takes now."""
@@ -80,7 +79,7 @@
                 return
             self._unwritten = self._unwritten[written:]
 
-    def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
+    def _write(self, level: str, event: str, fields: dict[str, Any]) -> None:
         now = self._now()
         if not self._allowance_by_level[level].take(now):
             self.left_out += 1
@@ -92,13 +91,13 @@
         self._append(level, event, fields)
         self.flush()
 
-    def _append(self, level: int, event: str, fields: dict[str, Any]) -> None:
+    def _append(self, level: str, event: str, fields: dict[str, Any]) -> None:
         if len(self._unwritten) > MAX_UNWRITTEN_BYTES:
             self.left_out += 1
             return
         line = {
             "time": round(time.time(), 3),
-            "level": logbook.get_level_name(level).lower(),
+            "level": level,
             "host": self._host,
             "event": event,
             **fields,
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -1,12 +1,11 @@
-"""Metrics of one gateway process."""
-
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
+"""Metrics of one gateway process.
+
+They are counted here and shown by prometheus_client, which is loaded with the first
+look at them: it takes 4 MB, and most hosts are never looked at.
+"""
+
+from bisect import bisect_left
+from collections.abc import Iterator
 
 LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -27,52 +26,125 @@
 SHARE_BUCKETS = (0.0, 0.5, 0.75, 0.85, 0.9, 0.95, 0.99, 1.0)
 
 
+class Value:
+    """Hold a counter or gauge for each combination of label values."""
+
+    def __init__(self, name: str, text: str, *labels: str) -> None:
+        self.name = name
+        self.text = text
+        self.labels = labels
+        self.by_labels: dict[tuple[str, ...], float] = {}
+
+    def inc(self, *labels: str) -> None:
+        """Count one."""
+        self.by_labels[labels] = self.by_labels.get(labels, 0.0) + 1.0
+
+    def set(self, value: float, *labels: str) -> None:
+        """Set a gauge."""
+        self.by_labels[labels] = value
+
+
+class Distribution:
+    """Hold counts by bucket, and the sum, for each combination of label values."""
+
+    def __init__(
+        self, name: str, text: str, bounds: tuple[float, ...], *labels: str
+    ) -> None:
+        self.name = name
+        self.text = text
+        self.bounds = bounds
+        self.labels = labels
+        self.by_labels: dict[tuple[str, ...], list[float]] = {}
+
+    def observe(self, value: float, *labels: str) -> None:
+        """Take one sample."""
+        counts = self.by_labels.get(labels)
+        if counts is None:
+            counts = self.by_labels[labels] = [0.0] * (len(self.bounds) + 2)
+        counts[bisect_left(self.bounds, value)] += 1.0
+        counts[-1] += value
+
+    def buckets(self, counts: list[float]) -> Iterator[tuple[str, float]]:
+        """Yield each bound and the samples up to it.
+
+        >>> each = Distribution("d", "", (1.0, 2.0))
+        >>> each.observe(1.5)
+        >>> list(each.buckets(each.by_labels[()]))
+        [('1.0', 0.0), ('2.0', 1.0), ('+Inf', 1.0)]
+        """
+        total = 0.0
+        bounds = (*map(str, self.bounds), "+Inf")
+        for bound, count in zip(bounds, counts[:-1], strict=True):
+            total += count
+            yield bound, total
+
+
 class GatewayMetrics:
-    """Hold the metrics in a registry of their own."""
+    """Hold the metrics of a process."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self.latency = Histogram(
+        self.latency = Distribution(
             "crocusbay_gateway_request_seconds",
             "Time from a request's last byte to its reply",
-            ["route", "outcome"],
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=self.registry,
+            LATENCY_BUCKETS_SECONDS,
+            "route",
+            "outcome",
         )
-        self.share = Histogram(
+        self.share = Distribution(
             "crocusbay_gateway_shard_share",
             "Share of the shards in gathered answers",
-            ["route"],
-            buckets=SHARE_BUCKETS,
-            registry=self.registry,
+            SHARE_BUCKETS,
+            "route",
         )
-        self.attempts = self._counter(
+        self.attempts = Value(
             "crocusbay_gateway_attempts",
             "Requests sent to servers: first, hedge or retry",
             "reason",
         )
-        self.attempt_failures = self._counter(
+        self.attempt_failures = Value(
             "crocusbay_gateway_attempt_failures", "Failed attempts", "cause"
         )
-        self.store_calls = self._counter(
+        self.store_calls = Value(
             "crocusbay_gateway_store_calls", "Calls to the store", "call", "result"
         )
-        self.members = Gauge(
-            "crocusbay_gateway_members", "Hosts heard", registry=self.registry
-        )
-        self.view_age = Gauge(
+        self.members = Value("crocusbay_gateway_members", "Hosts heard")
+        self.view_age = Value(
             "crocusbay_gateway_view_age_seconds",
             "Time since the store confirmed a view",
-            ["view"],
-            registry=self.registry,
-        )
-        self.running = Gauge(
-            "crocusbay_gateway_running", "Requests being served", registry=self.registry
+            "view",
         )
+        self.running = Value("crocusbay_gateway_running", "Requests being served")
 
     def text(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
-        return generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator:
+        """Yield the metrics as prometheus_client wants them."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
-    def _counter(self, name: str, text: str, *labels: str) -> Counter:
-        return Counter(name, text, list(labels), registry=self.registry)
+        for value, kind in (
+            (self.attempts, CounterMetricFamily),
+            (self.attempt_failures, CounterMetricFamily),
+            (self.store_calls, CounterMetricFamily),
+            (self.members, GaugeMetricFamily),
+            (self.view_age, GaugeMetricFamily),
+            (self.running, GaugeMetricFamily),
+        ):
+            family = kind(value.name, value.text, labels=value.labels)
+            for labels, number in value.by_labels.items():
+                family.add_metric(labels, number)
+            yield family
+        for each in (self.latency, self.share):
+            family = HistogramMetricFamily(each.name, each.text, labels=each.labels)
+            for labels, counts in each.by_labels.items():
+                family.add_metric(labels, list(each.buckets(counts)), counts[-1])
+            yield family
