Deliver a whole answer that other bytes follow; test the transport

Cause: bytes that are no answer, in one chunk behind a whole answer, made the parser fail before the answer was delivered, so that a request which had been answered was sent once more.

Ruled out: reusing the connection (it is closed either way).

Change: a parser error behind a whole answer spoils the connection only.

--- a/packages/gateway/crocusbay_gateway/transport/connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/connection.py
@@ -134,8 +134,12 @@
         except httptools.HttpParserUpgrade:
             self._end(Cause.PROTOCOL)
         except httptools.HttpParserError as error:
-            is_crossed = isinstance(error.__context__, _CrossedError)
-            self._end(Cause.CROSSED if is_crossed else Cause.PROTOCOL)
+            if self._is_complete:
+                # What follows a whole answer belongs to no request.
+                self._is_spoiled = True
+            else:
+                is_crossed = isinstance(error.__context__, _CrossedError)
+                self._end(Cause.CROSSED if is_crossed else Cause.PROTOCOL)
         if self._is_complete:
             self._deliver()
 
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -0,0 +1,89 @@
+"""A scripted server for the transport's tests, on a port that the OS chooses."""
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import anyio
+
+from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.tests.replay import DIALECT
+from crocusbay_gateway.transport import Exchange, ServerPool
+
+PATIENCE = 10.0
+
+
+class ScriptedServer:
+    """Answer each request with the next script: chunks, or None to close."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.connections = 0
+        self._server = None
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                script = self.scripts.pop(0) if self.scripts else (ok(),)
+                for chunk in script:
+                    if chunk is RESET:
+                        connection = writer.get_extra_info("socket")
+                        connection.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                        )
+                        writer.transport.abort()
+                        return
+                    if chunk is END:
+                        writer.close()
+                        return
+                    writer.write(chunk)
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+RESET = object()
+END = object()
+
+
+def ok(attempt=b"a1", body=b"body", extra=b""):
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Attempt: %b\r\nX-Signature: sig\r\n"
+        b"Content-Length: %d\r\n%b\r\n%b" % (attempt, len(body), extra, body)
+    )
+
+
+@asynccontextmanager
+async def open_pool(*scripts, share=4):
+    """Yield a scripted server and a pool of connections to it."""
+    scripted = ScriptedServer(*scripts)
+    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    ip, port = server.sockets[0].getsockname()
+    timers = TimerService()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        pool = ServerPool(f"{ip}:{port}", share, DIALECT, timers, tasks.start_soon)
+        yield scripted, pool, timers
+        pool.abort()
+        server.close()
+        tasks.cancel_scope.cancel()
+
+
+async def ask(pool, timers, attempt=b"a1", seconds=PATIENCE, **options):
+    """Send one request and return its verdict."""
+    done = asyncio.get_running_loop().create_future()
+    data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    exchange = Exchange(
+        attempt,
+        data,
+        timers.now() + seconds,
+        lambda _, verdict: done.set_result(verdict),
+        **options,
+    )
+    pool.submit(exchange)
+    with anyio.fail_after(PATIENCE):
+        return await done
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
@@ -0,0 +1,148 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.tests.replay import DIALECT
+from crocusbay_gateway.state import Limits, Reply
+from crocusbay_gateway.transport import CallerServer
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = Limits(header_bytes=9_000, body_bytes=100, header_time=0.1, idle_time=0.2)
+GET = b"GET /x?q=1 HTTP/1.1\r\nHost: h\r\nX-Attempt: a1\r\nX-Deadline: 500\r\n\r\n"
+PATIENCE = 10.0
+
+
+class Handler:
+    def __init__(self):
+        self.requests = []
+        self.cancelled = 0
+        self.release = anyio.Event()
+        self.release.set()
+
+    async def __call__(self, request):
+        self.requests.append(request)
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return Reply(200, body=request.body or b"hello")
+
+
+@asynccontextmanager
+async def open_server():
+    handler = Handler()
+    timers = TimerService()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        server = CallerServer(handler, DIALECT, timers, lambda: LIMITS)
+        await server.start("127.0.0.1:0", tasks)
+        yield handler, server
+        server.close()
+        tasks.cancel_scope.cancel()
+
+
+async def talk(server, data):
+    """Send bytes; return all that comes until the server closes or falls silent."""
+    ip, port = server.address.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(data)
+    received = b""
+    with anyio.move_on_after(PATIENCE):
+        received = await reader.read(-1)
+    writer.close()
+    return received
+
+
+async def test_request_reaches_the_handler_as_it_was_sent():
+    async with open_server() as (handler, server):
+        data = (
+            b"POST /x?q=1 HTTP/1.1\r\nHost: H.example:80\r\nX-Attempt: a1\r\n"
+            b"X-Deadline: 500\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Own: v\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        received = await talk(server, data)
+        assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert received.endswith(b"\r\n\r\nabcde")
+        request = handler.requests[0]
+        assert (request.method, request.target) == ("POST", "/x?q=1")
+        assert (request.host, request.path) == ("h.example", "/x")
+        assert (request.attempt, request.body) == ("a1", b"abcde")
+        assert request.deadline - request.received_at == pytest.approx(0.5)
+        names = [name for name, _ in request.headers]
+        assert names == [b"Host", b"X-Attempt", b"X-Own"]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (b"nonsense\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n" + b"x" * 101,
+            b"413",
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 11_000 + b"\r\n\r\n", b"431"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", b"408"),
+    ],
+)
+async def test_bad_request_is_refused_and_reaches_no_handler(data, status):
+    async with open_server() as (handler, server):
+        received = await talk(server, data)
+        assert received.split(b" ")[1] == status
+        assert b"Connection: close" in received
+        assert handler.requests == []
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    async with open_server() as (handler, server):
+        bodies = b"".join(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%d" % number
+            for number in range(5)
+        )
+        received = await talk(server, bodies)
+        assert [part[:1] for part in received.split(b"\r\n\r\n")[1:]] == [
+            b"%d" % number for number in range(5)
+        ]
+
+
+async def test_idle_connection_is_closed_after_its_time():
+    async with open_server() as (_, server):
+        assert await talk(server, b"") == b""
+
+
+async def test_leaving_caller_cancels_its_request():
+    async with open_server() as (handler, server):
+        handler.release = anyio.Event()
+        ip, port = server.address.split(":")
+        _, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(GET)
+        with anyio.fail_after(PATIENCE):
+            while not handler.requests:
+                await asyncio.sleep(0)
+            writer.close()
+            while not handler.cancelled:
+                await asyncio.sleep(0)
+
+
+async def test_leaving_host_answers_and_announces_the_end():
+    async with open_server() as (handler, server):
+        server.leave()
+        received = await talk(server, GET)
+        assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert b"Connection: close" in received
