Add a soak of real hosts under random faults

Change: a stand-in store, servers that lose, cut, double and refuse answers, proxies that delay, reset, cut one way and silence, callers with kept connections, and checks from what callers and servers saw: own whole answers, true coverage, single runs, true refusals, no work when leaving, extras, configuration in force, planned stops, service back at the end.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
@@ -14,7 +14,7 @@
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.log import DecisionLog
 from crocusbay_gateway.metrics import GatewayMetrics
-from crocusbay_gateway.protocol import Dialect
+from crocusbay_gateway.protocol.tests.dialect import DIALECT
 from crocusbay_gateway.state import (
     Bounds,
     CallerRequest,
@@ -28,17 +28,6 @@
     ToShards,
 )
 
-DIALECT = Dialect(
-    attempt=b"X-Attempt",
-    deadline_ms=b"X-Deadline",
-    signature=b"X-Signature",
-    expected_server=b"X-Expected",
-    server_name=b"X-Server",
-    not_run=b"X-Not-Run",
-    part_signatures=b"X-Parts",
-    missing_parts=b"X-Missing",
-    wrong_server_status=421,
-)
 HOUR = 3_600.0
 
 
--- a/packages/gateway/crocusbay_gateway/coordination/watching.py
+++ b/packages/gateway/crocusbay_gateway/coordination/watching.py
@@ -25,7 +25,7 @@
 MAX_STALE_SECONDS = 2.2
 IDLE_CHECK_SECONDS = 0.1
 # A host that has just started hears of the others first.
-FIRST_CALL_SECONDS = 0.25
+FIRST_CALL_SECONDS = 0.2
 RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 0.6
 # Hosts of these ranks poll once their view is old; so many that one of them probably
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -269,6 +269,9 @@
         )
 
     async def _beat_always(self) -> None:
+        # At once, so that hosts started together know each other before the first
+        # call to the store.
+        self._send_beat()
         async for now in self.timers.every(BEAT_SECONDS, jitter=0.1):
             served = self.requests.served
             rate = (served - self._served_before) / BEAT_SECONDS
--- a/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -8,7 +8,7 @@
 import anyio
 
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.tests.replay import DIALECT
+from crocusbay_gateway.protocol.tests.dialect import DIALECT
 from crocusbay_gateway.transport import Exchange, ServerPool
 
 PATIENCE = 10.0
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
@@ -5,7 +5,7 @@
 import pytest
 
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.tests.replay import DIALECT
+from crocusbay_gateway.protocol.tests.dialect import DIALECT
 from crocusbay_gateway.state import Limits, Reply
 from crocusbay_gateway.transport import CallerServer
 
--- /dev/null
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -0,0 +1,174 @@
+"""Callers of a soak: they ask for addresses, keep connections and note what they see."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from crocusbay.state import split_address
+from crocusbay_platform.entry import Resolution
+from crocusbay_platform.names import DIALECT, RESOLUTION_PATH
+from crocusbay_standins.soak.hosts import SoakHost
+from crocusbay_standins.soak.store import read_message
+
+LOOKUP_SECONDS = 1.0
+CONNECT_SECONDS = 1.0
+DEADLINE_SECONDS = 2.0
+PAUSE_SECONDS = 0.05
+KEEP_SECONDS = 1.0
+
+
+class Kind(StrEnum):
+    """Name what a caller asks for."""
+
+    GATHER = "gather"
+    FETCH = "fetch"
+    ORDER = "order"
+    PROBE = "probe"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Note one request and its end; status 0: the connection ended, -1: no answer."""
+
+    attempt: str
+    kind: Kind
+    host: str
+    sent_at: float
+    ended_at: float
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    path: str
+
+
+class Caller:
+    """Send requests one after the other over kept connections."""
+
+    def __init__(
+        self,
+        name: str,
+        hosts: list[SoakHost],
+        outcomes: list[Outcome],
+        rng: random.Random,
+        paths: dict[Kind, str],
+    ) -> None:
+        self._name = name
+        self._host_by_address = {h.settings.caller_address: h for h in hosts}
+        self._hosts = hosts
+        self._outcomes = outcomes
+        self._rng = rng
+        self._paths = paths
+        self._count = 0
+        self._addresses: tuple[str, ...] = ()
+        self._asked_at = float("-inf")
+        self._streams: dict[str, tuple] = {}
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        kinds = [Kind.GATHER, Kind.GATHER, Kind.FETCH, Kind.ORDER]
+        try:
+            while True:
+                await self._refresh()
+                if self._addresses:
+                    address = self._rng.choice(self._addresses)
+                    await self.ask(address, self._rng.choice(kinds))
+                await asyncio.sleep(PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
+        finally:
+            for _, writer in self._streams.values():
+                writer.close()
+
+    async def ask(self, address: str, kind: Kind) -> Outcome | None:
+        """Send one request; return how it ended, or None if it was never sent."""
+        loop = asyncio.get_running_loop()
+        stream = await self._connect(address)
+        if stream is None:
+            return None
+        self._count += 1
+        attempt = f"{self._name}-{self._count}"
+        sent_at = loop.time()
+        status, headers, body = 0, {}, b""
+        try:
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                stream[1].write(self._encode(kind, attempt))
+                _, code, headers, body = await read_message(stream[0])
+                status = int(code)
+        except TimeoutError:
+            status = -1
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            status = 0
+        if status <= 0 or headers.get(b"connection") == b"close":
+            self._streams.pop(address, None)
+            stream[1].close()
+        outcome = Outcome(
+            attempt,
+            kind,
+            self._host_by_address[address].name,
+            sent_at,
+            loop.time(),
+            status,
+            headers,
+            body,
+            self._paths[kind],
+        )
+        self._outcomes.append(outcome)
+        return outcome
+
+    def _encode(self, kind: Kind, attempt: str) -> bytes:
+        method = "POST" if kind is Kind.ORDER else "GET"
+        head = (
+            f"{method} {self._paths[kind]}{attempt} HTTP/1.1\r\nHost: soak.example\r\n"
+            f"{DIALECT.attempt.decode()}: {attempt}\r\n"
+            f"{DIALECT.deadline_ms.decode()}: {int(DEADLINE_SECONDS * 1000)}\r\n"
+        )
+        if method == "POST":
+            head += "Content-Length: 2\r\n\r\nhi"
+        else:
+            head += "\r\n"
+        return head.encode()
+
+    async def _refresh(self) -> None:
+        """Ask some hosts where to connect; keep the old answer if none knows."""
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._asked_at + KEEP_SECONDS:
+            return
+        for host in self._rng.sample(self._hosts, min(3, len(self._hosts))):
+            addresses = await self._look_up(host)
+            if addresses:
+                self._addresses = addresses
+                self._asked_at = loop.time()
+                for address in set(self._streams) - set(addresses):
+                    self._streams.pop(address)[1].close()
+                return
+
+    async def _look_up(self, host: SoakHost) -> tuple[str, ...]:
+        try:
+            async with asyncio.timeout(LOOKUP_SECONDS):
+                ip, port = split_address(host.settings.entry_address)
+                reader, writer = await asyncio.open_connection(ip, port)
+                writer.write(
+                    f"GET {RESOLUTION_PATH}?zone={host.settings.place} HTTP/1.1\r\n"
+                    f"Host: x\r\nConnection: close\r\n\r\n".encode()
+                )
+                _, status, _, body = await read_message(reader)
+                writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return ()
+        if status != "200":
+            return ()
+        return msgspec.json.decode(body, type=Resolution).addrs
+
+    async def _connect(self, address: str):
+        held = self._streams.get(address)
+        if held is not None and not held[0].at_eof():
+            return held
+        ip, port = split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                stream = await asyncio.open_connection(ip, port)
+        except (OSError, TimeoutError):
+            return None
+        self._streams[address] = stream
+        return stream
--- /dev/null
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -0,0 +1,128 @@
+"""Hosts of a soak: real processes, each on a loopback address of its own."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from crocusbay_gateway.state import Bounds, GatewaySettings
+from crocusbay_platform.names import SETTINGS_VARIABLE
+from crocusbay_platform.settings import encode_settings
+from crocusbay_standins.soak.proxy import Proxy
+
+BOUNDS = Bounds(
+    drain_time=3.0,
+    stop_time=4.0,
+    apply_time=3.0,
+    extra_ratio=0.2,
+    extra_burst=60.0,
+    extra_window=10.0,
+    entry_lifetime=2.0,
+)
+SEEDS = 2
+START = "from crocusbay_platform.main import main; main()"
+
+
+def free_port(ips: list[str]) -> int:
+    """Return a port that is free on each of the addresses."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ips[0], 0))
+            port = probe.getsockname()[1]
+        if all(_is_free(ip, port) for ip in ips):
+            return port
+
+
+def _is_free(ip: str, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
+@dataclass
+class SoakHost:
+    """Hold one host process and the proxy between it and the store."""
+
+    settings: GatewaySettings
+    folder: Path
+    store_proxy: Proxy
+    process: subprocess.Popen | None = None
+    is_paused: bool = False
+    # When something was last done to the host or its links.
+    touched_at: float = field(default=float("-inf"))
+
+    @property
+    def name(self) -> str:
+        """Return the host's name."""
+        return self.settings.name
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; its log is appended to a file."""
+        path = self.folder / f"{self.name}.toml"
+        path.write_bytes(encode_settings(self.settings))
+        log = (self.folder / f"{self.name}.log").open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", START],
+            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.is_paused = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if self.is_running:
+            self.process.send_signal(number)
+            self.is_paused = number == signal.SIGSTOP or (
+                self.is_paused and number != signal.SIGCONT
+            )
+
+    def end(self) -> None:
+        """End the process for good."""
+        if self.is_running:
+            self.process.kill()
+            self.process.wait()
+
+
+def make_hosts(
+    count: int, places: list[str], folder: Path, proxies: list[Proxy], first_ip: int
+) -> list[SoakHost]:
+    """Return hosts that share their ports, as on the platform."""
+    ips = [f"127.77.{first_ip}.{number + 1}" for number in range(count)]
+    caller, ready, entry, peer = (free_port(ips) for _ in range(4))
+    return [
+        SoakHost(
+            GatewaySettings(
+                name=f"host-{number}",
+                place=places[number % len(places)],
+                region="r",
+                ip=ip,
+                caller_address=f"{ip}:{caller}",
+                ready_address=f"{ip}:{ready}",
+                entry_address=f"{ip}:{entry}",
+                peer_port=peer,
+                metrics_port=0,
+                seed_ips=tuple(ips[:SEEDS]),
+                store_address=proxy.address,
+                cores=1.0,
+                link_mbps=1000.0,
+                bounds=BOUNDS,
+            ),
+            folder,
+            proxy,
+        )
+        for number, (ip, proxy) in enumerate(zip(ips, proxies, strict=True))
+    ]
--- /dev/null
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -0,0 +1,159 @@
+"""Stand-in for the platform's store: objects, revisions and watches."""
+
+import asyncio
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from crocusbay_gateway.protocol import encode_reply
+from crocusbay_gateway.state import Configuration, Reply, ServerEntry
+from crocusbay_platform.configuration import encode_configuration
+from crocusbay_platform.names import (
+    AFTER,
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    OBJECTS_PATH,
+    SERVERS_KIND,
+    WAIT_MS,
+    WATCH,
+)
+from crocusbay_platform.servers import encode_entry
+from crocusbay_platform.store import Changes, Event, Meta, Page, StoredObject
+from crocusbay_standins.soak.listening import listen
+
+PAGE_OBJECTS = 50
+HISTORY_EVENTS = 400
+
+
+class StandInStore:
+    """Hold objects by kind and name; answer over HTTP."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.calls = 0
+        self.is_busy = False
+        self._by_kind: dict[str, dict[str, StoredObject]] = {}
+        self._history: list[tuple[int, str, Event]] = []
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server
+
+    async def start(self) -> str:
+        """Listen on a port that the system chooses; return the address."""
+        self._server, address = await listen(self._serve)
+        return address
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    def put_configuration(self, configuration: Configuration) -> None:
+        """Write the operator's configuration."""
+        spec = msgspec.Raw(encode_configuration(configuration))
+        self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, spec)
+
+    def put_server(self, entry: ServerEntry, seq: int) -> None:
+        """Write a server's entry."""
+        self._put(SERVERS_KIND, entry.name, msgspec.Raw(encode_entry(entry, seq)))
+
+    def remove_server(self, name: str) -> None:
+        """Remove a server's entry."""
+        held = self._by_kind.get(SERVERS_KIND, {}).pop(name, None)
+        if held is not None:
+            self._note(SERVERS_KIND, Event(held, deleted=True))
+
+    def forget_history(self) -> None:
+        """Drop the events so far, so that watches must list again."""
+        self._history.clear()
+        self._forgotten = self.revision
+        self._wake()
+
+    def _put(self, kind: str, name: str, spec: msgspec.Raw) -> StoredObject:
+        stored = StoredObject(Meta(name, self.revision + 1), spec)
+        self._by_kind.setdefault(kind, {})[name] = stored
+        self._note(kind, Event(stored))
+        return stored
+
+    def _note(self, kind: str, event: Event) -> None:
+        self.revision += 1
+        self._history.append((self.revision, kind, event))
+        while len(self._history) > HISTORY_EVENTS:
+            self._forgotten = self._history.pop(0)[0]
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                method, target, body = await read_request(reader)
+                self.calls += 1
+                status, answer = await self._answer(method, target, body)
+                reply = Reply(status, body=msgspec.json.encode(answer))
+                writer.write(encode_reply(reply))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            writer.close()
+
+    async def _answer(self, method: str, target: str, body: bytes):
+        if self.is_busy:
+            return 503, {}
+        url = urlsplit(target)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        kind = url.path.removeprefix(OBJECTS_PATH).split("/")[1]
+        if method in ("POST", "PUT"):
+            sent = msgspec.json.decode(body, type=StoredObject)
+            if method == "POST" and sent.meta.name in self._by_kind.get(kind, {}):
+                return 409, {}
+            return 200, self._put(kind, sent.meta.name, sent.spec)
+        if WATCH in query:
+            return await self._watch(kind, int(query[WATCH]), int(query[WAIT_MS]))
+        return 200, self._page(kind, query.get(AFTER, ""))
+
+    async def _watch(self, kind: str, after: int, wait_ms: int):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_ms / 1000
+        while True:
+            if after < self._forgotten:
+                return 410, {}
+            events = tuple(
+                e for rev, k, e in self._history if rev > after and k == kind
+            )
+            if events or loop.time() >= until:
+                return 200, Changes(self.revision, events)
+            try:
+                await asyncio.wait_for(self._changed.wait(), until - loop.time())
+            except TimeoutError:
+                continue
+
+    def _page(self, kind: str, after: str) -> Page:
+        objects = sorted(
+            self._by_kind.get(kind, {}).values(), key=lambda o: o.meta.name
+        )
+        rest = [each for each in objects if each.meta.name > after]
+        return Page(self.revision, tuple(rest[:PAGE_OBJECTS]), len(rest) > PAGE_OBJECTS)
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, bytes]:
+    """Return the method, target and body of the next request."""
+    method, target, _, body = await read_message(reader)
+    return method, target, body
+
+
+async def read_message(
+    reader: asyncio.StreamReader,
+) -> tuple[str, str, dict[bytes, bytes], bytes]:
+    """Return the first two words, the headers in lower case, and the body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head[:-4].split(b"\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(b":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
+    one, two, *_ = first.decode().split(" ")
+    return one, two, headers, body
