--- a/packages/gateway/crocusbay_gateway/coordination/entry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/entry.py
@@ -19,7 +19,7 @@
 PART_BYTES = 1_200
 USUAL_PARTS = 100
 # The hosts named may be this busy; beyond, requests queue.
-MAX_BUSY = 0.3
+MAX_BUSY = 0.6
 # Hosts this much slower than the fastest are named only when the others are busy.
 SLOWER = 1.5
 
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -49,6 +49,15 @@
         self._timers: list[Timer] = []
         self._crashed: set[str] = set()
 
+    def facts(self) -> dict[str, object]:
+        """Return what decided the reply, for the log."""
+        return {
+            "service": self._service,
+            "sends": self._tries.sends,
+            "hedges": self.hedges,
+            "retries": self.retries,
+        }
+
     async def run(self) -> Reply:
         """Send the request and return the reply."""
         self._done = asyncio.get_running_loop().create_future()
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -20,6 +20,8 @@
 HEDGE_SHARE_OF_EXTRAS = 0.8
 # Sends of one part, those that a server rejected included.
 MAX_SENDS_PER_SHARD = 4
+# Missing shards that a log line names.
+MAX_NAMED = 5
 # The pause before a part is offered again to servers that all rejected it.
 RETRY_PAUSE_SECONDS = 0.03
 
@@ -72,6 +74,18 @@
         self._timers: list[Timer] = []
         self._check_timer: Timer | None = None
 
+    def facts(self) -> dict[str, object]:
+        """Return what decided the reply, for the log."""
+        late = [leg.service for leg in self.legs if not leg.signature]
+        return {
+            "parts": self._parts,
+            "shards": len(self.legs),
+            "hedges": self.hedges,
+            "retries": self.retries,
+            "late_after_ms": round(self._timing.late_after * 1000, 1),
+            "missing": late[:MAX_NAMED],
+        }
+
     async def run(self) -> Reply:
         """Send to every shard and return the reply when it is good enough."""
         self._done = asyncio.get_running_loop().create_future()
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -1,5 +1,6 @@
 """Request service: from a caller's request to its final reply."""
 
+from asyncio import CancelledError
 from collections.abc import Callable
 
 from crocusbay.state import Cause
@@ -54,13 +55,19 @@
         """Return the final reply to a request."""
         self.served += 1
         route, reply = self._admit(request)
+        facts: dict[str, object] = {}
         if reply is None:
+            job = self._make_job(request, route)
             self.running += 1
             try:
-                reply = await self._serve(request, route)
+                reply = await job.run()
+            except CancelledError:
+                self._note_left(request, route, job.facts())
+                raise
             finally:
                 self.running -= 1
-        self._note(request, route, reply)
+            facts = job.facts()
+        self._note(request, route, reply, facts)
         return reply
 
     def _admit(self, request: CallerRequest) -> tuple[Route | None, Reply | None]:
@@ -83,7 +90,7 @@
             return route, refuse(Cause.QUARANTINED)
         return route, None
 
-    async def _serve(self, request: CallerRequest, route: Route) -> Reply:
+    def _make_job(self, request: CallerRequest, route: Route) -> Gather | Forward:
         give_up_at = request.received_at + route.timeout
         if request.deadline is not None:
             give_up_at = min(give_up_at, request.deadline)
@@ -91,14 +98,14 @@
         timing = self._timing(route)
         match route.target:
             case ToShards():
-                job = self._gather(request, route, timing, give_up_at)
+                return self._gather(request, route, timing, give_up_at)
             case ToService(service):
-                job = Forward(
+                return Forward(
                     self._context, request, route, service, timing, give_up_at
                 )
             case ToSplit(parts):
                 split = self._split_by_route.setdefault(route.name, Split())
-                job = Forward(
+                return Forward(
                     self._context,
                     request,
                     route,
@@ -106,7 +113,6 @@
                     timing,
                     give_up_at,
                 )
-        return await job.run()
 
     def _gather(
         self,
@@ -140,7 +146,26 @@
             for name in by_route.keys() - names:
                 del by_route[name]
 
-    def _note(self, request: CallerRequest, route: Route | None, reply: Reply) -> None:
+    def _note_left(
+        self, request: CallerRequest, route: Route, facts: dict[str, object]
+    ) -> None:
+        elapsed = self._context.timers.now() - request.received_at
+        self._context.metrics.latency.observe(elapsed, route.name, "caller-left")
+        self._context.log.info(
+            "caller-left",
+            request=request.attempt,
+            route=route.name,
+            ms=round(elapsed * 1000, 1),
+            **facts,
+        )
+
+    def _note(
+        self,
+        request: CallerRequest,
+        route: Route | None,
+        reply: Reply,
+        facts: dict[str, object],
+    ) -> None:
         now = self._context.timers.now()
         elapsed = now - request.received_at
         name = route.name if route else ""
@@ -163,6 +188,7 @@
             servers_revision=self._servers.revision,
             servers_age_ms=_milliseconds(self._servers.age(now)),
             running=self.running,
+            **facts,
         )
 
 
