Start a host of the soak once when two faults bring it back

Change: a host that runs is not started again.

Before: test_host_that_runs_is_not_started_twice fails. After: it passes.

--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -69,7 +69,10 @@
         return self.process is not None and self.process.poll() is None
 
     def start(self) -> None:
-        """Start the process; its log is appended to a file."""
+        """Start the process, unless it runs; its log is appended to a file."""
+        if self.is_running:
+            # Two faults that overlap both bring the host back.
+            return
         path = self.folder / f"{self.name}.toml"
         path.write_bytes(encode_settings(self.settings))
         log = (self.folder / f"{self.name}.log").open("ab")
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -12,6 +12,7 @@
 from crocusbay_platform.names import DIALECT
 from crocusbay_standins.soak import checks
 from crocusbay_standins.soak.callers import Kind, Outcome
+from crocusbay_standins.soak.hosts import make_hosts
 from crocusbay_standins.soak.servers import Arrival, records_of
 
 SHARDS = ("s0", "s1", "s2")
@@ -116,3 +117,19 @@
     cut = Outcome("a1", Kind.FETCH, "h", 10.0, ended_at, 0, {}, b"", "/one/")
     seen = observed([cut], is_calm=is_calm)
     assert bool(checks.check_planned_stops(seen)) == is_broken
+
+
+def test_host_that_runs_is_not_started_twice(tmp_path):
+    (host,) = make_hosts(1, ["a"], tmp_path, [_NoProxy()], first_ip=251)
+    try:
+        host.start()
+        first = host.process
+        host.start()
+        assert host.process is first
+    finally:
+        host.end()
+    assert not host.is_running
+
+
+class _NoProxy:
+    address = "127.0.0.1:1"
