Tell a request's story from the hosts' logs

Change: crocusbay explain REQUEST LOG... prints the lines of a request in time order, after what its hosts came to believe in the five seconds before.

--- a/packages/command/crocusbay_command/main.py
+++ b/packages/command/crocusbay_command/main.py
@@ -34,6 +34,7 @@
     collect_events,
     collect_statuses,
 )
+from crocusbay_command.explain import tell_story
 from crocusbay_command.show import format_event, format_statuses, render_page
 
 EXIT_FAULTY_INPUT = 2
@@ -208,6 +209,24 @@
         click.echo(format_event(event))
 
 
+@main.command()
+@click.argument("request")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+def explain(request: str, logs: tuple) -> None:
+    """Tell the story of REQUEST, an id, from the LOGS of hosts; - is standard input."""
+    story = tell_story((line for log in logs for line in log), request)
+    if not story.lines:
+        _end(f"{request}: no line of these logs names it", EXIT_REFUSED)
+    for title, lines in (
+        ("Before, on its hosts:", story.context),
+        ("The request:", story.lines),
+    ):
+        if lines:
+            click.echo(title)
+        for line in lines:
+            click.echo(f"  {line}")
+
+
 def _load(file: Path) -> Questionnaire:
     try:
         text = file.read_text(encoding="utf-8")
