--- a/conftest.py
+++ b/conftest.py
@@ -2,6 +2,10 @@
 
 import pytest
 
+# pytest would name it platform.run, and put an empty module in place of the standard
+# library's.
+collect_ignore = ["platform/run.py"]
+
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 
 
--- a/packages/command/crocusbay_command/explain.py
+++ b/packages/command/crocusbay_command/explain.py
@@ -6,7 +6,8 @@
 
 from crocusbay.protocol import from_json
 
-# Changes of what a host believed, this long before the request's last line.
+# Changes of what a host believed, this long before the request's first line. Those of
+# servers that the request did not meet are left out.
 CONTEXT_SECONDS = 5.0
 # Written first on each line, so not repeated among its fields.
 _SHOWN = ("time", "host", "event", "level", "request")
@@ -72,7 +73,12 @@
     own.sort(key=lambda line: line.time)
     hosts = {line.host for line in own}
     since, until = own[0].time - CONTEXT_SECONDS, own[-1].time
+    servers = {line.fields.get("server") for line in own}
     context = [
-        line for line in others if line.host in hosts and since <= line.time <= until
+        line
+        for line in others
+        if line.host in hosts
+        and since <= line.time <= until
+        and line.fields.get("server") in servers | {None}
     ]
     return Story(tuple(own), tuple(sorted(context, key=lambda line: line.time)))
--- a/packages/gateway/crocusbay_gateway/coordination/budget.py
+++ b/packages/gateway/crocusbay_gateway/coordination/budget.py
@@ -33,7 +33,7 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self.share = FIRST_SHARE
-        self._bounds = bounds
+        self.bounds = bounds
         self._buckets: deque[_Bucket] = deque()
 
     def note_request(self, now: float) -> None:
@@ -52,14 +52,14 @@
     def allowance(self, now: float) -> float:
         """Return how many extras may be sent within a window."""
         bucket = self._bucket(now)
-        oldest = bucket.number - int(self._bounds.extra_window / BUCKET_SECONDS) + 1
+        oldest = bucket.number - int(self.bounds.extra_window / BUCKET_SECONDS) + 1
         requests = sum(each.requests for each in self._buckets if each.number >= oldest)
-        burst = BURST_SAFETY * self._bounds.extra_burst * self.share
-        return RATIO_SAFETY * self._bounds.extra_ratio * requests + burst
+        burst = BURST_SAFETY * self.bounds.extra_burst * self.share
+        return RATIO_SAFETY * self.bounds.extra_ratio * requests + burst
 
     def _bucket(self, now: float) -> _Bucket:
         number = int(now / BUCKET_SECONDS)
-        oldest = number - int(self._bounds.extra_window / BUCKET_SECONDS)
+        oldest = number - int(self.bounds.extra_window / BUCKET_SECONDS)
         while self._buckets and self._buckets[0].number < oldest:
             self._buckets.popleft()
         if not self._buckets or self._buckets[-1].number != number:
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -47,6 +47,7 @@
         self.by_name: dict[str, Sighting] = {}
         self.contacts_by_name: dict[str, KnownHost] = {}
         self._hosts_by_place: dict[str, int] = {}
+        self._forgotten: set[str] = set()
         self._turns: list[str] = []
 
     @property
@@ -120,11 +121,17 @@
             if silence > FORGET_SECONDS:
                 del self.by_name[name]
                 self.contacts_by_name.pop(name, None)
+                self._forgotten.add(name)
             elif silence > lost_after and not sighting.is_lost:
                 sighting.is_lost = True
                 lost.append(sighting.status)
         return lost
 
+    def take_forgotten(self) -> set[str]:
+        """Return the hosts forgotten since the last call that are not back."""
+        forgotten, self._forgotten = self._forgotten, set()
+        return forgotten - self.by_name.keys()
+
     def addresses(self) -> list[str]:
         """Return where the next beat goes."""
         contacts = self.contacts_by_name
--- a/packages/gateway/crocusbay_gateway/coordination/partial.py
+++ b/packages/gateway/crocusbay_gateway/coordination/partial.py
@@ -11,8 +11,6 @@
 # From a reply's writing to its arrival: the way back, and the way here that had passed
 # before the request was read.
 WAY_SECONDS = 0.02
-# What the handshake of a caller's new connection took before its first request.
-HANDSHAKE_SECONDS = 0.008
 
 
 class Decision(Enum):
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -59,6 +59,12 @@
         self._budget_by_service: dict[str, ExtraBudget] = {}
         self._limit_by_service: dict[str, int] = {}
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take the bounds of extras from settings that changed."""
+        self._bounds = bounds
+        for budget in self._budget_by_service.values():
+            budget.bounds = bounds
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Take the connection limits of the services."""
         self._limit_by_service = {
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
@@ -12,7 +12,7 @@
     make_request,
     make_route,
 )
-from crocusbay_gateway.state import ToShards
+from crocusbay_gateway.state import Bounds, ToShards
 
 pytestmark = pytest.mark.anyio
 
@@ -137,7 +137,8 @@
         world.script(name, seconds=0.12)
     timing = RouteTiming(GOAL)
     budget = world.registry.budget("s0")
-    budget._bounds = type(budget._bounds)(extra_burst=10.0, extra_ratio=0.2)
+    world.registry.set_bounds(Bounds(extra_burst=10.0, extra_ratio=0.2))
+    assert budget.bounds.extra_burst == 10.0
     for number in range(40):
         await finish(world, gather(world, timing, attempt=f"a{number}"))
     sends = world.received()["s0-a"] + world.received()["s0-b"]
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -12,7 +12,7 @@
     gather_time,
 )
 from crocusbay_gateway.coordination.health import ServerHealth
-from crocusbay_gateway.coordination.membership import Membership
+from crocusbay_gateway.coordination.membership import FORGET_SECONDS, Membership
 from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import (
     STRIKE_LIFETIME_SECONDS,
@@ -234,3 +234,17 @@
     membership.take_counts("a", {"c": 3})
     assert membership.hosts_by_place == {"a": 2, "b": 5, "c": 3}
     assert membership.host_count == 10
+
+
+def test_host_that_stays_silent_is_lost_then_forgotten_once():
+    membership = Membership("host-0", "a", 1)
+    membership.take(status("host-1"), 0.0)
+    assert [each.name for each in membership.tick(membership.lost_after + 0.1)] == [
+        "host-1"
+    ]
+    assert membership.live == []
+    assert membership.host_count == 2
+    membership.tick(FORGET_SECONDS + 0.1)
+    assert membership.host_count == 1
+    assert membership.take_forgotten() == {"host-1"}
+    assert membership.take_forgotten() == set()
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -113,6 +113,7 @@
         self.settings = replace(
             self.settings, seed_ips=settings.seed_ips, bounds=settings.bounds
         )
+        self.registry.set_bounds(settings.bounds)
         self.log.info("settings-reloaded", seeds=len(settings.seed_ips))
 
     async def run(self) -> None:
@@ -422,6 +423,9 @@
                 if not self.membership.live:
                     for host in await self._store.list_hosts():
                         self.membership.take_contact(host)
+                for name in self.membership.take_forgotten():
+                    if self.membership.is_bridge:
+                        await self._store.remove_host(name)
             except StoreUnavailableError as error:
                 self.log.info("hosts-not-read", reason=str(error))
 
--- a/packages/gateway/crocusbay_gateway/protocol/dialect.py
+++ b/packages/gateway/crocusbay_gateway/protocol/dialect.py
@@ -11,7 +11,6 @@
     deadline_ms: bytes
     signature: bytes
     expected_server: bytes
-    server_name: bytes
     not_run: bytes
     part_signatures: bytes
     missing_parts: bytes
--- a/packages/gateway/crocusbay_gateway/protocol/tests/dialect.py
+++ b/packages/gateway/crocusbay_gateway/protocol/tests/dialect.py
@@ -7,7 +7,6 @@
     deadline_ms=b"X-Deadline",
     signature=b"X-Signature",
     expected_server=b"X-Expected",
-    server_name=b"X-Server",
     not_run=b"X-Not-Run",
     part_signatures=b"X-Parts",
     missing_parts=b"X-Missing",
--- a/packages/gateway/crocusbay_gateway/state/settings.py
+++ b/packages/gateway/crocusbay_gateway/state/settings.py
@@ -41,4 +41,3 @@
     cores: float
     link_mbps: float
     bounds: Bounds
-    max_files: int = 1_024
--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -158,7 +158,7 @@
             return ()
         if status != "200":
             return ()
-        return msgspec.json.decode(body, type=Resolution).addrs
+        return msgspec.json.decode(body, type=Resolution).addresses
 
     async def _connect(self, address: str):
         held = self._streams.get(address)
