Move parts that wait for a connection; look for late parts again

Ruled out: the budget of extras (the host had sent none in that window).

Change: a part that has waited for longer than a handshake goes to another server, and costs no extra, since no server has received it; late parts that could not be hedged are looked at again until the answer is due; connecting is given up after 0.5 s.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -16,6 +16,8 @@
 # A hedge earlier than this share of the goal would mostly repeat healthy work.
 LEAST_HEDGE_SHARE = 0.12
 MOST_HEDGE_SHARE = 0.55
+# Twice the way to the next data centre and back, and what a server takes to accept.
+HANDSHAKE_SECONDS = 0.05
 # Beyond this many usual times an attempt is late, however many others are late too.
 LATE_USUALS = 2.2
 # A request that its caller no longer waits for keeps a server at most this long.
@@ -50,10 +52,12 @@
 class Tries:
     """Remember where one request, or one part of it, was sent."""
 
-    __slots__ = ("sends", "_open", "_run_on", "_rejected_by")
+    __slots__ = ("sends", "has_arrived", "_open", "_run_on", "_rejected_by")
 
     def __init__(self) -> None:
         self.sends = 0
+        # Whether a server has received it; until then no further send is an extra.
+        self.has_arrived = False
         self._open: set[str] = set()
         self._run_on: set[str] = set()
         self._rejected_by: set[str] = set()
@@ -78,10 +82,11 @@
         self.sends += 1
         self._open.add(server.entry.name)
 
-    def ended(self, server: Server, *, may_have_run: bool) -> None:
+    def ended(self, attempt: "Attempt", *, may_have_run: bool) -> None:
         """Note the end of a send."""
-        name = server.entry.name
+        name = attempt.server.entry.name
         self._open.discard(name)
+        self.has_arrived |= attempt.is_sent
         if may_have_run:
             self._run_on.add(name)
         else:
@@ -91,7 +96,15 @@
 class Attempt:
     """Send one request to one server; call back once with the verdict."""
 
-    __slots__ = ("server", "exchange", "is_extra", "_context", "_timing", "_on_verdict")
+    __slots__ = (
+        "server",
+        "exchange",
+        "is_extra",
+        "_context",
+        "_timing",
+        "_on_verdict",
+        "_started_at",
+    )
 
     def __init__(
         self,
@@ -111,6 +124,7 @@
         self._timing = timing
         self._on_verdict = on_verdict
         now = context.timers.now()
+        self._started_at = now
 
         def encode() -> bytes:
             remaining = give_up_at - context.timers.now()
@@ -128,6 +142,25 @@
         overdue_at = now + 2 * timing.late_after
         server.health.sent(self.exchange, overdue_at)
 
+    @property
+    def is_sent(self) -> bool:
+        """Return whether the request went out, rather than wait for a connection."""
+        return self.exchange.is_sent
+
+    @property
+    def is_stuck(self) -> bool:
+        """Return whether the request has waited for longer than a handshake takes."""
+        waited = self._context.timers.now() - self._started_at
+        return not self.is_sent and waited >= HANDSHAKE_SECONDS
+
+    def withdraw(self) -> None:
+        """Take back a request that still waits for a connection to its server."""
+        if not self.server.pool.has_connection:
+            now = self._context.timers.now()
+            usual = self._timing.usual.value
+            self.server.health.learn(NotRun(Cause.CONNECT_FAILED), 0.0, usual, now)
+        self._cut()
+
     def send(self) -> None:
         """Hand the request to the server's connections."""
         self.server.pool.submit(self.exchange)
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -4,7 +4,12 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
-from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming, Tries
+from crocusbay_gateway.coordination.attempt import (
+    HANDSHAKE_SECONDS,
+    Attempt,
+    RouteTiming,
+    Tries,
+)
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.refusal import reply_to_failure
@@ -83,8 +88,7 @@
             )
             self._fail(NotRun(cause))
             return
-        if self._route.is_idempotent and self._route.max_attempts > 1:
-            self._at(now + self._timing.late_after, self._hedge)
+        self._at(now + self._timing.late_after, self._look_if_late)
 
     def _send(self, reason: str) -> bool:
         """Send to the best server left; return whether one was there."""
@@ -92,7 +96,7 @@
         server = self._tries.choose(registry, self._service, self._route.max_attempts)
         if server is None:
             return False
-        if reason != "first":
+        if self._tries.has_arrived:
             share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
             if not registry.budget(self._service).spend(self._now(), share):
                 return False
@@ -112,14 +116,30 @@
         attempt.send()
         return True
 
-    def _hedge(self) -> None:
-        if self._open and self._send("hedge"):
+    def _look_if_late(self) -> None:
+        """Move a request that waits for a connection; hedge one that was sent."""
+        if len(self._open) != 1:
+            return
+        (attempt,) = self._open
+        if attempt.is_stuck:
+            self._open.clear()
+            attempt.withdraw()
+            self._tries.ended(attempt, may_have_run=False)
+            self._failure = self._failure or NotRun(Cause.CONNECT_FAILED)
+            self._retry()
+            return
+        if not attempt.is_sent:
+            self._at(self._now() + HANDSHAKE_SECONDS, self._look_if_late)
+            return
+        self._tries.has_arrived = True
+        may_hedge = self._route.is_idempotent and self._route.max_attempts > 1
+        if may_hedge and self._send("hedge"):
             self.hedges += 1
 
     def _take(self, attempt: Attempt, verdict: Verdict) -> None:
         if attempt in self._open:
             self._open.remove(attempt)
-        self._tries.ended(attempt.server, may_have_run=not isinstance(verdict, NotRun))
+        self._tries.ended(attempt, may_have_run=not isinstance(verdict, NotRun))
         if self._done.done():
             return
         if isinstance(verdict, Ran):
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -20,6 +20,8 @@
 HEDGE_SHARE_OF_EXTRAS = 0.8
 # Sends of one part, those that a server rejected included.
 MAX_SENDS_PER_SHARD = 4
+# The pause between looks for late parts, in the time after which one is late.
+HEDGE_AGAIN_SHARE = 0.5
 # Missing shards that a log line names.
 MAX_NAMED = 5
 # The pause before a part is offered again to servers that all rejected it.
@@ -117,7 +119,7 @@
         server = leg.tries.choose(registry, leg.service, self._route.max_attempts)
         if server is None:
             return False
-        if reason != "first":
+        if leg.tries.has_arrived:
             share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
             if not registry.budget(leg.service).spend(self._now(), share):
                 return False
@@ -138,19 +140,41 @@
         return True
 
     def _hedge_late(self) -> None:
-        """Send each part that is late to a second server."""
+        """Send each part that is late to a second server.
+
+        What could not be hedged, for lack of a server or of the budget, is tried again
+        a little later.
+        """
         for leg in self.legs:
             if leg.is_pending and leg.open and not leg.has_hedged:
-                leg.has_hedged = True
-                if self._route.max_attempts > 1 and self._send(leg, "hedge"):
-                    self.hedges += 1
+                self._hedge(leg)
+        now = self._now()
+        again = now + HEDGE_AGAIN_SHARE * self._timing.late_after
+        if again < self._policy.answer_by:
+            self._at(again, self._hedge_late)
         self._check()
 
+    def _hedge(self, leg: Leg) -> None:
+        (attempt,) = leg.open
+        if attempt.is_stuck:
+            # The server takes no connection: the part moves on, at no cost.
+            leg.open.clear()
+            attempt.withdraw()
+            leg.tries.ended(attempt, may_have_run=False)
+            self._retry(leg, NotRun(Cause.CONNECT_FAILED))
+            return
+        if not attempt.is_sent:
+            return
+        leg.tries.has_arrived = True
+        if self._route.max_attempts > 1 and self._send(leg, "hedge"):
+            leg.has_hedged = True
+            self.hedges += 1
+
     def _take(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
         """Take the verdict of one attempt."""
         if attempt in leg.open:
             leg.open.remove(attempt)
-        leg.tries.ended(attempt.server, may_have_run=not isinstance(verdict, NotRun))
+        leg.tries.ended(attempt, may_have_run=not isinstance(verdict, NotRun))
         if leg.signature or self._done.done():
             return
         if isinstance(verdict, Ran) and self._is_part(verdict.answer):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
@@ -68,7 +68,10 @@
 
 @dataclass
 class Script:
-    """Say what a server does: after how long, with what (None: nothing at all)."""
+    """Say what a server does: after how long, with what.
+
+    None is nothing at all, "no-connection" that it takes no connection.
+    """
 
     seconds: float = 0.02
     verdict: object = "answer"
@@ -87,6 +90,7 @@
     received: list = field(default_factory=list)
     share: int = 8
     has_room: bool = True
+    has_connection: bool = False
     closed: int = 0
 
     def submit(self, exchange):
@@ -95,6 +99,8 @@
         if isinstance(script.verdict, NotRun) and script.seconds == 0:
             exchange.finish(script.verdict)
             return
+        if script.verdict == "no-connection":
+            return
         exchange.is_sent = True
         exchange.sent_at = self.timers.now()
         exchange.connection = ScriptedConnection(self, exchange)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
@@ -121,3 +121,14 @@
     reply, elapsed = await finish(world, forward(world, route, deadline=8.0))
     assert reply.status == 504
     assert elapsed == pytest.approx(0.4, abs=0.01)
+
+
+@pytest.mark.parametrize("kind", list(RouteKind))
+async def test_request_that_waits_for_a_connection_moves_on(kind):
+    world = World(SERVERS)
+    first = world.registry.choose("s").entry.name
+    world.script(first, verdict="no-connection")
+    route = make_route(ToService("s"), kind=kind)
+    reply, elapsed = await finish(world, forward(world, route))
+    assert reply.status == 200
+    assert elapsed < route.goal
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from crocusbay.state import Cause, MayHaveRun, NotRun
@@ -69,6 +71,7 @@
         ({"status": 500}, 0),
         ({"status": 503, "headers": ((DIALECT.not_run, b"1"),)}, 0),
         ({"verdict": None}, 0),
+        ({"verdict": "no-connection"}, 0),
         ({"seconds": 0.4}, 0),
     ],
 )
@@ -143,3 +146,30 @@
         await finish(world, gather(world, timing, attempt=f"a{number}"))
     sends = world.received()["s0-a"] + world.received()["s0-b"]
     assert sends <= 40 + 0.2 * 40 + 10
+
+
+async def test_part_that_never_reached_a_server_moves_on_without_an_extra():
+    """Replays shards whose first servers went dark, with no extras left."""
+    world = make_world(bounds=Bounds(extra_burst=0.0, extra_ratio=0.0))
+    for shard in SHARDS[:4]:
+        world.script(f"{shard}-a", verdict="no-connection")
+    reply, elapsed = await finish(world, gather(world, least=1.0))
+    assert reply.status == 200
+    assert len(parts(reply)) == len(SHARDS)
+    assert elapsed < GOAL
+
+
+async def test_late_part_is_hedged_when_a_server_is_there_again():
+    world = make_world()
+    world.script("s3-a", verdict=None)
+    second = world.registry.by_service["s3"][1]
+    entry = second.entry
+    world.registry.take([entry.__class__(entry.name, 2, is_gone=True)])
+    job = gather(world, least=1.0)
+    task = asyncio.ensure_future(job.run())
+    await world.timers.advance(0.06)
+    world.registry.take([entry])
+    world.registry.by_service["s3"][1].pool = world.pool_by_server["s3-b"]
+    await world.timers.advance(0.06)
+    assert task.done()
+    assert len(parts(task.result())) == len(SHARDS)
--- a/packages/gateway/crocusbay_gateway/transport/pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/pool.py
@@ -17,7 +17,8 @@
 # Margin to the idle time that a server announces, for both directions of a slow link.
 IDLE_MARGIN_SECONDS = 0.5
 DEFAULT_IDLE_SECONDS = 10.0
-CONNECT_TIMEOUT_SECONDS = 1.0
+# Well beyond any handshake; an opening packet that is lost is sent again only later.
+CONNECT_TIMEOUT_SECONDS = 0.5
 # After the deadline of an exchange its connection is of no more use.
 OVERDUE_SECONDS = 0.05
 MAX_WAITING = 64
@@ -53,6 +54,11 @@
         """Return whether a connection is idle or may be opened."""
         return bool(self._idle) or len(self._open) + self._connecting < self.share
 
+    @property
+    def has_connection(self) -> bool:
+        """Return whether the server has accepted a connection that is still open."""
+        return bool(self._open)
+
     @property
     def open_connections(self) -> int:
         """Return the number of connections that are open or being opened."""
