Prepare sends in one place; part peering from the wiring of a process

Change: Sender prepares a send and logs its failure for both; Peering holds the beats, the views that hosts hand to each other and the entries of hosts in the store, and is tested over loopback. What is decided stays the same.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -1,6 +1,7 @@
 """Attempts: one request sent to one server, and what is learned from its verdict."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.context import Context
@@ -235,3 +236,61 @@
         if any(name.lower() == not_run for name, _ in answer.headers):
             return NotRun(Cause.SHED, detail=f"status {answer.status}")
         return verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """Prepare the sends of one request, first ones and extras alike."""
+
+    context: Context
+    request: CallerRequest
+    route: Route
+    timing: RouteTiming
+    give_up_at: float
+
+    def prepare(
+        self,
+        tries: Tries,
+        service: str,
+        reason: str,
+        share_of_extras: float,
+        on_verdict: Callable[[Attempt, Verdict], None],
+    ) -> Attempt | None:
+        """Return an attempt at the best server left, or None if there is none.
+
+        One that a server may run a second time takes from the budget of extras.
+        """
+        registry = self.context.registry
+        server = tries.choose(registry, service, self.route.max_attempts)
+        if server is None:
+            return None
+        now = self.context.timers.now()
+        budget = registry.budget(service)
+        if tries.has_arrived and not budget.spend(now, share_of_extras):
+            return None
+        tries.sent(server)
+        self.context.metrics.attempts.inc(reason)
+        return Attempt(
+            self.context,
+            self.request,
+            self.route,
+            server,
+            self.timing,
+            self.give_up_at,
+            on_verdict,
+            is_extra=reason != "first",
+        )
+
+    def log_failure(self, service: str, attempt: Attempt, verdict: Verdict) -> None:
+        """Count and log an attempt that failed."""
+        entry = attempt.server.entry
+        self.context.metrics.attempt_failures.inc(verdict.cause)
+        self.context.log.info(
+            "attempt-failed",
+            request=self.request.attempt,
+            service=service,
+            server=entry.name,
+            entry_revision=entry.revision,
+            cause=verdict.cause,
+            detail=verdict.detail,
+        )
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -8,6 +8,7 @@
     HANDSHAKE_SECONDS,
     Attempt,
     RouteTiming,
+    Sender,
     Tries,
 )
 from crocusbay_gateway.coordination.context import Context
@@ -45,6 +46,7 @@
         self._service = service
         self._timing = timing
         self._give_up_at = give_up_at
+        self._sender = Sender(context, request, route, timing, give_up_at)
         self._now = context.timers.now
         self._open: list[Attempt] = []
         self._tries = Tries()
@@ -92,26 +94,15 @@
 
     def _send(self, reason: str) -> bool:
         """Send to the best server left; return whether one was there."""
-        registry = self._context.registry
-        server = self._tries.choose(registry, self._service, self._route.max_attempts)
-        if server is None:
-            return False
-        if self._tries.has_arrived:
-            share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
-            if not registry.budget(self._service).spend(self._now(), share):
-                return False
-        self._tries.sent(server)
-        self._context.metrics.attempts.inc(reason)
-        attempt = Attempt(
-            self._context,
-            self._request,
-            self._route,
-            server,
-            self._timing,
-            self._give_up_at,
+        attempt = self._sender.prepare(
+            self._tries,
+            self._service,
+            reason,
+            HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0,
             self._take,
-            is_extra=reason != "first",
         )
+        if attempt is None:
+            return False
         self._open.append(attempt)
         attempt.send()
         return True
@@ -157,16 +148,7 @@
         )
 
     def _take_failure(self, attempt: Attempt, verdict: Verdict) -> None:
-        self._context.metrics.attempt_failures.inc(verdict.cause)
-        self._context.log.info(
-            "attempt-failed",
-            request=self._request.attempt,
-            service=self._service,
-            server=attempt.server.entry.name,
-            entry_revision=attempt.server.entry.revision,
-            cause=verdict.cause,
-            detail=verdict.detail,
-        )
+        self._sender.log_failure(self._service, attempt, verdict)
         if self._failure is None or isinstance(verdict, MayHaveRun):
             self._failure = verdict
         if verdict == MayHaveRun(Cause.RESET):
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -7,7 +7,12 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
-from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming, Tries
+from crocusbay_gateway.coordination.attempt import (
+    Attempt,
+    RouteTiming,
+    Sender,
+    Tries,
+)
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import fingerprint
@@ -68,6 +73,7 @@
         self._target: ToShards = route.target
         self._timing = timing
         self._policy = policy
+        self._sender = Sender(context, request, route, timing, policy.give_up_at)
         self._now = context.timers.now
         self._parts = 0
         self._pending = len(self.legs)
@@ -115,26 +121,15 @@
 
     def _send(self, leg: Leg, reason: str) -> bool:
         """Send a part to the best server left; return whether one was there."""
-        registry = self._context.registry
-        server = leg.tries.choose(registry, leg.service, self._route.max_attempts)
-        if server is None:
-            return False
-        if leg.tries.has_arrived:
-            share = HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0
-            if not registry.budget(leg.service).spend(self._now(), share):
-                return False
-        leg.tries.sent(server)
-        self._context.metrics.attempts.inc(reason)
-        attempt = Attempt(
-            self._context,
-            self._request,
-            self._route,
-            server,
-            self._timing,
-            self._policy.give_up_at,
+        attempt = self._sender.prepare(
+            leg.tries,
+            leg.service,
+            reason,
+            HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0,
             lambda sent, verdict: self._take(leg, sent, verdict),
-            is_extra=reason != "first",
         )
+        if attempt is None:
+            return False
         leg.open.append(attempt)
         attempt.send()
         return True
@@ -201,21 +196,11 @@
             self._retry_held()
 
     def _take_failure(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
-        cause = getattr(verdict, "cause", "status")
-        self._context.metrics.attempt_failures.inc(cause)
         if isinstance(verdict, Ran):
             verdict = MayHaveRun(
                 Cause.PROTOCOL, detail=f"status {verdict.answer.status}"
             )
-        self._context.log.info(
-            "attempt-failed",
-            request=self._request.attempt,
-            service=leg.service,
-            server=attempt.server.entry.name,
-            entry_revision=attempt.server.entry.revision,
-            cause=verdict.cause,
-            detail=verdict.detail,
-        )
+        self._sender.log_failure(leg.service, attempt, verdict)
         if leg.failure is None or isinstance(verdict, MayHaveRun):
             leg.failure = verdict
         if verdict == MayHaveRun(Cause.RESET):
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -0,0 +1,179 @@
+import os
+import socket
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from crocusbay.state import split_address
+from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.membership import Membership
+from crocusbay_gateway.coordination.peering import Peering
+from crocusbay_gateway.coordination.quarantine import (
+    STRIKES_TO_QUARANTINE,
+    Quarantine,
+)
+from crocusbay_gateway.coordination.store import StoreUnavailableError
+from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
+from crocusbay_gateway.log import DecisionLog
+from crocusbay_gateway.protocol import KnownHost, Strike
+from crocusbay_gateway.state import Configuration, HostStatus, ServerEntry
+
+pytestmark = pytest.mark.anyio
+
+PATIENCE = 10.0
+
+
+class Host:
+    """Hold one host's peering, without requests."""
+
+    def __init__(self, name, timers, spawn):
+        self.name = name
+        self.timers = timers
+        self.configuration = ConfigurationView()
+        self.servers = ServersView()
+        self.membership = Membership(name, "a", 1)
+        self.quarantine = Quarantine()
+        _, write_end = os.pipe()
+        self.peering = Peering(
+            self.membership,
+            self.configuration,
+            self.servers,
+            self.quarantine,
+            self.describe,
+            lambda: None,
+            DecisionLog(name, write_end),
+            timers,
+            spawn,
+        )
+
+    def describe(self, beat, address):
+        now = self.timers.now()
+        return HostStatus(
+            self.name,
+            1,
+            beat,
+            "a",
+            f"{self.name}:80",
+            address,
+            configuration_revision=self.configuration.revision,
+            configuration_age=self.configuration.age(now),
+            servers_revision=self.servers.revision,
+            servers_seen=self.servers.seen,
+            servers_age=self.servers.age(now),
+        )
+
+    def knows(self, other):
+        self.membership.take_contact(KnownHost(other.name, other.peering.address, "a"))
+
+
+@asynccontextmanager
+async def open_hosts(*names):
+    timers = TimerService()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        hosts = [Host(name, timers, tasks.start_soon) for name in names]
+        for host in hosts:
+            await host.peering.start("127.0.0.1", 0)
+        yield hosts
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition, beat):
+    """Beat until the condition holds."""
+    with anyio.fail_after(PATIENCE):
+        while not condition():
+            beat()
+            await anyio.sleep(0.01)
+
+
+def fill(host, version=3):
+    now = host.timers.now()
+    host.configuration.offer(7, Configuration(version), now)
+    entries = [ServerEntry("x", 8, "s", "10.0.0.1:80", "a")]
+    host.servers.update(entries, 9, now)
+
+
+async def test_host_that_starts_in_an_outage_learns_from_one_it_hears():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        fill(first)
+        first.knows(second)
+        await until(lambda: second.servers.by_name, first.peering.send_beat)
+        await until(lambda: second.configuration.configuration, first.peering.send_beat)
+        assert second.configuration.configuration == Configuration(3)
+        assert second.servers.by_name == first.servers.by_name
+        assert second.configuration.age(second.timers.now()) < PATIENCE
+
+
+async def test_word_of_a_peer_keeps_a_view_fresh():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        fill(first)
+        first.knows(second)
+        await until(lambda: second.servers.by_name, first.peering.send_beat)
+        before = second.servers.fresh_at
+        first.servers.update([], 12, first.timers.now() + 1.0)
+        await until(lambda: second.servers.fresh_at > before, first.peering.send_beat)
+        assert second.servers.seen == 12
+
+
+async def test_hosts_hear_of_each_other_by_hearsay():
+    names = ("host-1", "host-2", "host-3")
+    async with open_hosts(*names) as (first, second, third):
+        first.knows(second)
+        third.knows(second)
+
+        def beat():
+            for host in (first, second, third):
+                host.peering.send_beat()
+
+        await until(lambda: len(first.membership.live) == 2, beat)
+
+
+async def test_strikes_reach_other_hosts():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        first.knows(second)
+        now = first.timers.now()
+        for number in range(STRIKES_TO_QUARANTINE):
+            first.quarantine.strike(Strike("f", f"s{number}"), now)
+        await until(
+            lambda: second.quarantine.holds("f", second.timers.now()),
+            first.peering.send_beat,
+        )
+
+
+async def test_bytes_that_are_no_beat_are_passed_over():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(b"nonsense", split_address(second.peering.address))
+        first.knows(second)
+        await until(lambda: second.membership.live, first.peering.send_beat)
+
+
+class HostStore:
+    """Stand in for the store's entries of hosts."""
+
+    def __init__(self, hosts=()):
+        self.hosts = {host.name: host for host in hosts}
+        self.is_away = False
+
+    async def announce(self, host):
+        if self.is_away:
+            raise StoreUnavailableError("away")
+        self.hosts[host.name] = host
+
+    async def list_hosts(self):
+        return tuple(self.hosts.values())
+
+    async def remove_host(self, name):
+        del self.hosts[name]
+
+
+async def test_host_whose_seeds_are_gone_finds_others_in_the_store(monkeypatch):
+    monkeypatch.setattr("crocusbay_gateway.coordination.peering.HOSTS_SECONDS", 0.01)
+    async with open_hosts("host-1", "host-2") as (first, second):
+        store = HostStore([KnownHost("host-2", second.peering.address, "a")])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.peering.follow_hosts, store)
+            await until(lambda: first.membership.live, first.peering.send_beat)
+            await until(lambda: "host-1" in store.hosts, lambda: None)
+            tasks.cancel_scope.cancel()
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from crocusbay.state import split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.entry import (
@@ -15,29 +14,20 @@
     gather_time,
 )
 from crocusbay_gateway.coordination.membership import BEAT_SECONDS, Membership
+from crocusbay_gateway.coordination.peering import Peering
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.service import RequestService
-from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
+from crocusbay_gateway.coordination.store import Store
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.coordination.watching import Watching
 from crocusbay_gateway.log import DecisionLog
 from crocusbay_gateway.metrics import GatewayMetrics
-from crocusbay_gateway.protocol import Beat, Dialect, KnownHost, ViewAnswer, ViewQuery
+from crocusbay_gateway.protocol import Dialect
 from crocusbay_gateway.state import GatewaySettings, HostStatus, Limits, Reply
-from crocusbay_gateway.transport import (
-    CallerServer,
-    PeerEndpoint,
-    fetch_view,
-    serve_pages,
-)
+from crocusbay_gateway.transport import CallerServer, serve_pages
 
-# Hearsay travels with one beat in so many.
-KNOWN_EVERY_BEATS = 4
-# Of a host that hears others and does not beat to other data centres.
-SEEDS_EVERY_BEATS = 40
-# One way between hosts, subtracted from what a peer says of its view's age.
-PEER_WAY_SECONDS = 0.01
+# Weight of the newest beat in the smoothed load.
 LOAD_GAIN = 0.2
 # Before a stop the callers' answers must lapse, and then what is under way must end.
 SERVE_ON_SHARE_OF_STOP = 0.7
@@ -46,7 +36,6 @@
 # Callers keep an answer up to three times as long; a short life frees them of a host
 # that is leaving, and a question costs little.
 ENTRY_LIFETIME_SECONDS = 1.0
-HOSTS_SECONDS = 2.0
 
 
 class EntryCodec(Protocol):
@@ -83,10 +72,8 @@
         self._dialect = dialect
         self._store = store
         self._entry_codec = entry_codec
-        self._beat = 0
         self._load = 0.0
         self._served_before = 0
-        self._is_fetching = False
         self._gather_time = gather_time(settings.cores, settings.link_mbps)
         self._stop = anyio.Event()
         self._was_ready = False
@@ -105,7 +92,7 @@
         self.is_leaving = True
         self.log.info("leaving", running=self.requests.running)
         self.callers.leave()
-        self._send_beat()
+        self.peering.send_beat()
         self._stop.set()
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -114,12 +101,12 @@
             self.settings, seed_ips=settings.seed_ips, bounds=settings.bounds
         )
         self.registry.set_bounds(settings.bounds)
+        self.peering.seed_ips = settings.seed_ips
         self.log.info("settings-reloaded", seeds=len(settings.seed_ips))
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             tasks.start_soon(self.timers.run)
             self._build(tasks)
             await self._listen(tasks)
@@ -132,7 +119,7 @@
             tasks.start_soon(self._beat_always)
             tasks.start_soon(self.watching.watch_configuration)
             tasks.start_soon(self.watching.watch_servers)
-            tasks.start_soon(self._follow_hosts)
+            tasks.start_soon(self.peering.follow_hosts, self._store)
             await self._stop.wait()
             await self._drain()
             self.log.info("stopped", left_out=self.log.left_out)
@@ -168,7 +155,7 @@
             self.servers,
             self.membership,
             self.timers,
-            lambda view: self._send_beat(),
+            lambda view: self.peering.send_beat(),
             self._note_store,
         )
         self.callers = CallerServer(
@@ -180,16 +167,23 @@
                 "bad-request", status=status, reason=reason
             ),
         )
-        self.peers = PeerEndpoint(
-            self._take_beat,
-            self._view_answer,
-            lambda reason: self.log.warning("malformed-peer-message", reason=reason),
+        self.peering = Peering(
+            self.membership,
+            self.configuration,
+            self.servers,
+            self.quarantine,
+            self._describe,
+            self._set_hosts,
+            self.log,
+            self.timers,
+            tasks.start_soon,
         )
+        self.peering.seed_ips = settings.seed_ips
 
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
         settings = self.settings
         await self.callers.start(settings.caller_address, tasks)
-        self._peer_address = await self.peers.start(settings.ip, settings.peer_port)
+        await self.peering.start(settings.ip, settings.peer_port)
         await serve_pages(settings.ready_address, self._ready_page)
         await serve_pages(settings.entry_address, self._entry_page)
         if settings.metrics_port:
@@ -248,15 +242,15 @@
         else:
             self.log.warning("store-lost", reason=reason)
 
-    def _status(self) -> HostStatus:
+    def _describe(self, beat: int, peer_address: str) -> HostStatus:
         now = self.timers.now()
         return HostStatus(
             name=self.settings.name,
             incarnation=self.membership.incarnation,
-            beat=self._beat,
+            beat=beat,
             place=self.settings.place,
             caller_address=self.settings.caller_address,
-            peer_address=self._peer_address,
+            peer_address=peer_address,
             is_ready=self.is_ready,
             is_leaving=self.is_leaving,
             reaches_store=self.watching.reaches_store,
@@ -272,7 +266,7 @@
     async def _beat_always(self) -> None:
         # At once, so that hosts started together know each other before the first
         # call to the store.
-        self._send_beat()
+        self.peering.send_beat()
         async for now in self.timers.every(BEAT_SECONDS, jitter=0.1):
             served = self.requests.served
             rate = (served - self._served_before) / BEAT_SECONDS
@@ -281,60 +275,10 @@
             for status in self.membership.tick(now):
                 self.log.warning("host-lost", peer=status.name, beat=status.beat)
             self._set_hosts()
-            self._send_beat()
+            self.peering.send_beat()
             self._set_gauges(now)
             self.log.flush()
 
-    def _send_beat(self) -> None:
-        """Beat to the hosts whose turn it is, and now and then to silent seeds.
-
-        A host that hears nobody tries the seeds each time. Later, those that beat to
-        other data centres do so for all.
-        """
-        self._beat += 1
-        self._send_beat_to(self.membership.addresses())
-        every = KNOWN_EVERY_BEATS if self.membership.is_bridge else SEEDS_EVERY_BEATS
-        if not self.membership.live or self._beat % every == 1:
-            self._send_beat_to(self._seed_addresses())
-
-    def _send_beat_to(self, addresses: list[str]) -> None:
-        is_known_due = self._beat % KNOWN_EVERY_BEATS == 1
-        beat = Beat(
-            self._status(),
-            self.membership.known() if is_known_due else (),
-            self.quarantine.recent(self.timers.now()),
-            self.membership.hosts_by_place if is_known_due else {},
-        )
-        self.peers.send(beat, addresses)
-
-    def _seed_addresses(self) -> list[str]:
-        """Return the seeds that were not heard, as all are at a start."""
-        heard = {status.peer_address for status in self.membership.live}
-        port = split_address(self._peer_address)[1]
-        seeds = {f"{ip}:{port}" for ip in self.settings.seed_ips}
-        return sorted(seeds - heard - {self._peer_address})
-
-    def _take_beat(self, beat: Beat) -> None:
-        now = self.timers.now()
-        status = beat.sender
-        if self.membership.take(status, now):
-            self.log.info("host-found", peer=status.name, place=status.place)
-            self._set_hosts()
-            answer = Beat(
-                self._status(),
-                self.membership.known(),
-                (),
-                self.membership.hosts_by_place,
-            )
-            self.peers.send(answer, [status.peer_address])
-        for known in beat.known:
-            self.membership.take_contact(known)
-        self.membership.take_counts(status.place, beat.hosts_by_place)
-        for strike in beat.strikes:
-            if self.quarantine.strike(strike, now):
-                self.log.warning("quarantined", fingerprint=strike.fingerprint)
-        self._compare_views(status, now)
-
     def _set_hosts(self) -> None:
         """Divide limits by the hosts there are, and by the load of those beside."""
         beside = [
@@ -347,88 +291,6 @@
         places = len(self.membership.hosts_by_place)
         self.registry.set_hosts(self.membership.host_count, part, places)
 
-    def _compare_views(self, status: HostStatus, now: float) -> None:
-        """Take a peer's word that a view is right, or fetch what is newer."""
-        lacks = status.configuration_revision > self.configuration.revision
-        if not lacks:
-            self.configuration.offer(
-                status.configuration_revision,
-                None,
-                now - status.configuration_age - PEER_WAY_SECONDS,
-            )
-        if status.servers_revision > self.servers.revision:
-            lacks = True
-        elif self.servers.seen:
-            self.servers.confirm(
-                status.servers_revision,
-                status.servers_seen,
-                now - status.servers_age - PEER_WAY_SECONDS,
-            )
-        if lacks and not self._is_fetching:
-            self._is_fetching = True
-            self._tasks.start_soon(self._fetch, status)
-
-    async def _fetch(self, status: HostStatus) -> None:
-        query = ViewQuery(self.configuration.revision, self.servers.revision)
-        try:
-            answer = await fetch_view(status.peer_address, query)
-        except (OSError, TimeoutError, ValueError) as error:
-            self.log.warning("view-not-fetched", peer=status.name, reason=str(error))
-            return
-        finally:
-            self._is_fetching = False
-        now = self.timers.now()
-        before = (self.configuration.revision, self.servers.revision)
-        self.configuration.offer(
-            answer.configuration_revision,
-            answer.configuration,
-            now - answer.configuration_age - PEER_WAY_SECONDS,
-        )
-        if answer.servers_seen:
-            self.servers.merge(
-                answer.servers,
-                answer.servers_revision,
-                answer.servers_seen,
-                now - answer.servers_age - PEER_WAY_SECONDS,
-            )
-        if before != (self.configuration.revision, self.servers.revision):
-            self._send_beat()
-
-    def _view_answer(self, query: ViewQuery) -> ViewAnswer:
-        now = self.timers.now()
-        is_newer = self.configuration.revision > query.configuration_revision
-        return ViewAnswer(
-            self.configuration.revision,
-            self.configuration.age(now),
-            self.servers.revision,
-            self.servers.seen,
-            self.servers.age(now),
-            self.configuration.configuration if is_newer else None,
-            self.servers.changed_after(query.servers_revision),
-        )
-
-    async def _follow_hosts(self) -> None:
-        """Leave a way to this data centre in the store, and find others there.
-
-        The hosts that beat to other data centres suffice as a way in. They are looked
-        up only by a host that the seeds lead to nobody.
-        """
-        is_announced = False
-        own = KnownHost(self.settings.name, self._peer_address, self.settings.place)
-        async for _ in self.timers.every(HOSTS_SECONDS, jitter=0.2):
-            try:
-                if not is_announced and self.membership.is_bridge:
-                    await self._store.announce(own)
-                    is_announced = True
-                if not self.membership.live:
-                    for host in await self._store.list_hosts():
-                        self.membership.take_contact(host)
-                for name in self.membership.take_forgotten():
-                    if self.membership.is_bridge:
-                        await self._store.remove_host(name)
-            except StoreUnavailableError as error:
-                self.log.info("hosts-not-read", reason=str(error))
-
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live))
         self.metrics.running.set(self.requests.running)
