Leave an address alone that belongs to another server now

Both servers of one shard were gone, and the address of one had passed to a server of dispatch-desk~8.

Ruled out: the division of the burst (six hosts, three data centres), and sends that cost no extra because nothing had arrived (177 connections refused, no arrivals).

Change: a server in whose place another was met is not chosen for 5 s, even for want of a better one.

Before: test_address_that_another_server_has_now_gets_few_requests fails.

--- a/packages/gateway/crocusbay_gateway/coordination/health.py
+++ b/packages/gateway/crocusbay_gateway/coordination/health.py
@@ -19,6 +19,10 @@
 # nothing.
 SILENT_FIRST_SECONDS = 0.5
 SHED_SECONDS = 0.05
+# An address that belongs to another server now is of no use, even for want of a better
+# one: what is sent there is an arrival at a service that was not asked. Entries of
+# servers that are gone are removed within this time.
+MISDIRECTED_SECONDS = 5.0
 # In units of one usual request: what a failure, an overdue answer, a server that just
 # started and a server in another data centre add to the expected cost.
 FAILURE_COST = 8.0
@@ -39,6 +43,7 @@
         "_failures",
         "_observed_at",
         "_down_until",
+        "_misdirected_until",
         "_overdue_by_exchange",
     )
 
@@ -50,12 +55,17 @@
         self._failures = 0
         self._observed_at = 0.0
         self._down_until = 0.0
+        self._misdirected_until = 0.0
         self._overdue_by_exchange: dict[object, float] = {}
 
     def is_up(self, now: float) -> bool:
         """Return whether the server is not backed off."""
         return now >= self._down_until
 
+    def is_misdirected(self, now: float) -> bool:
+        """Return whether another server was met at the address a moment ago."""
+        return now < self._misdirected_until
+
     def sent(self, exchange: object, overdue_at: float) -> None:
         """Note a request and when its answer is overdue."""
         self.in_flight += 1
@@ -86,7 +96,9 @@
                 wait = SHED_SECONDS * random.uniform(0.8, 1.2)
                 self._down_until = max(self._down_until, now + wait)
                 self.failure_rate += 0.5 * FAILURE_GAIN * (1.0 - self.failure_rate)
-            case NotRun(Cause.CONNECT_FAILED | Cause.LEAVING | Cause.DRAINING):
+            case NotRun(Cause.LEAVING):
+                self._misdirected_until = now + MISDIRECTED_SECONDS
+            case NotRun(Cause.CONNECT_FAILED | Cause.DRAINING):
                 self._back_off(now)
             case MayHaveRun(Cause.CANCELLED | Cause.DEADLINE) | NotRun():
                 return
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -120,6 +120,8 @@
             name = server.entry.name
             if name in exclude or (only is not None and name not in only):
                 continue
+            if server.health.is_misdirected(now):
+                continue
             cost = server.cost(now)
             if not server.health.is_up(now):
                 if server.health.in_flight:
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
@@ -173,3 +173,15 @@
     await world.timers.advance(0.06)
     assert task.done()
     assert len(parts(task.result())) == len(SHARDS)
+
+
+async def test_address_that_another_server_has_now_gets_few_requests():
+    """Replays a shard whose servers are gone, one address reused by another service."""
+    world = make_world()
+    world.script("s3-a", verdict=NotRun(Cause.CONNECT_FAILED), seconds=0.0)
+    world.script("s3-b", status=DIALECT.wrong_server_status, seconds=0.001)
+    for number in range(40):
+        reply, _ = await finish(world, gather(world, attempt=f"a{number}"))
+        assert reply.status == 200
+        await world.timers.advance(0.05)
+    assert world.received()["s3-b"] <= 2
--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -26,6 +26,15 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """Note that a server was leaving, from its report until it started anew."""
+
+    server: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(frozen=True, slots=True)
 class Observed:
     """Hold all that was seen in a soak (times on the loop's clock, seconds).
@@ -37,7 +46,7 @@
     outcomes: list[Outcome]
     arrivals: list[Arrival]
     configurations: list[tuple[float, Configuration]]
-    drained: list[tuple[str, float]]
+    leaving: list[Leaving]
     is_calm: Callable[[str, float], bool]
 
 
@@ -142,16 +151,18 @@
 
 def check_draining(observed: Observed) -> list[Broken]:
     """A server that is leaving gets no new work after the time to drain."""
-    host_by_attempt = {outcome.attempt: outcome for outcome in observed.outcomes}
+    outcome_by_attempt = {outcome.attempt: outcome for outcome in observed.outcomes}
     broken = []
-    for server, drained_at in observed.drained:
-        late = drained_at + BOUNDS.drain_time + SCHEDULING_SECONDS
+    for leaving in observed.leaving:
+        late = leaving.since + BOUNDS.drain_time + SCHEDULING_SECONDS
         for arrival in observed.arrivals:
-            outcome = host_by_attempt.get(arrival.attempt)
-            if arrival.server != server or arrival.at < late or outcome is None:
+            outcome = outcome_by_attempt.get(arrival.attempt)
+            if arrival.server != leaving.server or outcome is None:
+                continue
+            if not late <= arrival.at < leaving.until:
                 continue
             if outcome.sent_at > late and observed.is_calm(outcome.host, arrival.at):
-                detail = f"{server} {arrival.at - drained_at:.1f} s after"
+                detail = f"{arrival.server} {arrival.at - leaving.since:.1f} s after"
                 broken.append(Broken("no work when leaving", arrival.attempt, detail))
     return broken
 
--- a/packages/standins/crocusbay_standins/soak/faults.py
+++ b/packages/standins/crocusbay_standins/soak/faults.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from crocusbay_gateway.state import Configuration
-from crocusbay_standins.soak.checks import CALM_SECONDS
+from crocusbay_standins.soak.checks import CALM_SECONDS, Leaving
 from crocusbay_standins.soak.deployment import make_routes, make_services
 from crocusbay_standins.soak.hosts import SoakHost
 from crocusbay_standins.soak.proxy import Harm
@@ -22,7 +22,7 @@
     ) -> None:
         self.log: list[str] = []
         self.configurations: list[tuple[float, Configuration]] = []
-        self.drained: list[tuple[str, float]] = []
+        self.leaving: list[Leaving] = []
         self.servers: list[StandInServer] = []
         self._rng = rng
         self._hosts = hosts
@@ -145,6 +145,13 @@
         if self._rng.random() < 0.5:
             server.forget()
         await asyncio.sleep(pause)
+        # From here on the server takes work again, under the name that it had.
+        self.leaving = [
+            replace(each, until=min(each.until, self._now()))
+            if each.server == server.name
+            else each
+            for each in self.leaving
+        ]
         await server.start()
 
     async def _spoil_server(self, seconds: float) -> None:
@@ -163,10 +170,9 @@
             return
         self.log.append(f"{self._now():.1f} drain {server.name}")
         server.drain()
-        self.drained.append((server.name, server.drained_at))
+        self.leaving.append(Leaving(server.name, server.drained_at))
         await asyncio.sleep(4.0 + seconds)
         if server.is_draining and server.is_up:
-            self.drained.remove((server.name, server.drained_at))
             await self._restart_server(server)
 
     async def _store_busy(self, seconds: float) -> None:
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -164,7 +164,7 @@
             self.outcomes,
             self.arrivals,
             self._faults.configurations,
-            self._faults.drained,
+            self._faults.leaving,
             self._faults.is_calm,
         )
         broken = check_all(observed)
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -33,12 +33,12 @@
 )
 
 
-def observed(outcomes=(), arrivals=(), drained=(), is_calm=True):
+def observed(outcomes=(), arrivals=(), leaving=(), is_calm=True):
     return checks.Observed(
         list(outcomes),
         list(arrivals),
         [(0.0, GATHER)],
-        list(drained),
+        list(leaving),
         lambda host, at: is_calm,
     )
 
@@ -93,12 +93,22 @@
 
 
 @pytest.mark.parametrize(
-    ("drained_at", "is_calm", "is_broken"),
-    [(9.0, True, False), (1.0, True, True), (1.0, False, False)],
+    ("since", "until", "is_calm", "is_broken"),
+    [
+        (9.0, 99.0, True, False),
+        (1.0, 99.0, True, True),
+        (1.0, 99.0, False, False),
+        # Started anew before the request arrived, or after it.
+        (1.0, 10.4, True, False),
+        (1.0, 10.6, True, True),
+    ],
 )
-def test_work_for_a_leaving_server_is_noticed(drained_at, is_calm, is_broken):
+def test_work_for_a_leaving_server_is_noticed(since, until, is_calm, is_broken):
     seen = observed(
-        [order(200)], [arrival()], [("orders/0", drained_at)], is_calm=is_calm
+        [order(200)],
+        [arrival()],
+        [checks.Leaving("orders/0", since, until)],
+        is_calm=is_calm,
     )
     assert bool(checks.check_draining(seen)) == is_broken
 
