Emulate hosts, servers, store and callers in one loop on a virtual clock

Change: an event loop whose time jumps, a network in memory (streams, datagrams, delays, cuts, losses) and nodes that are paused or killed. On it run the real gateways, the store's client and the soak's stand-ins, unchanged. The stand-ins learn further faults (outages of the store in each form, entries that lapse, slow and lost answers, garbled and silent servers, pauses, servers that swap their addresses) and a check of the limit of connections.

A host whose time of day was set back and that then started anew seemed to be an older start of itself; the others passed over its beats for a minute and left it out of their answers. Ruled out: lost datagrams and cuts (both had ended more than ten seconds before). Now another start counts as newer once the last one is lost.

--- a/packages/core/crocusbay/transport/timers.py
+++ b/packages/core/crocusbay/transport/timers.py
@@ -48,13 +48,13 @@
 
 
 class TimerService:
-    """Run callbacks at moments of the monotonic clock (seconds)."""
+    """Run callbacks at moments of a clock that never goes back (seconds)."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
         self._heap: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._wake = anyio.Event()
-        self.now = time.monotonic
+        self.now = now
 
     def at(self, when: float, callback: Callable[[], None]) -> Timer:
         """Run a callback that neither waits nor raises, at the moment given."""
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -36,6 +36,14 @@
     heard_at: float
     is_lost: bool = False
 
+    def is_replaced_by(self, status: HostStatus) -> bool:
+        """Return whether a status is newer than this one.
+
+        A host that was lost may have started anew after its clock was set back.
+        """
+        is_other_start = status.incarnation != self.status.incarnation
+        return (self.is_lost and is_other_start) or status.is_newer_than(self.status)
+
 
 class Membership:
     """Hold the other hosts by name (seconds)."""
@@ -90,7 +98,7 @@
         if status.name == self.name:
             return False
         sighting = self.by_name.get(status.name)
-        if sighting and not status.is_newer_than(sighting.status):
+        if sighting and not sighting.is_replaced_by(status):
             return False
         is_back = sighting is None or sighting.is_lost
         self.by_name[status.name] = Sighting(status, now)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -248,3 +248,22 @@
     assert membership.host_count == 1
     assert membership.take_forgotten() == {"host-1"}
     assert membership.take_forgotten() == set()
+
+
+@pytest.mark.parametrize(
+    ("silence", "is_taken"),
+    [
+        # Beats of one start and of the next may overtake each other for a moment.
+        (0.5, False),
+        (2.0, True),
+    ],
+)
+def test_host_whose_clock_was_set_back_is_heard_once_its_last_start_is_lost(
+    silence, is_taken
+):
+    membership = Membership("host-0", "a", 1)
+    membership.take(HostStatus("host-1", 2_000, 40, "a", "h:80", "h:90"), 0.0)
+    membership.tick(silence)
+    membership.take(HostStatus("host-1", 1_000, 1, "a", "h:80", "h:90"), silence)
+    heard = [(status.name, status.incarnation) for status in membership.live]
+    assert (("host-1", 1_000) in heard) is is_taken
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -1,6 +1,5 @@
 """Gateway: wires one process together and runs it until it is told to stop."""
 
-import time
 from dataclasses import replace
 from typing import Protocol
 
@@ -60,6 +59,7 @@
         log: DecisionLog,
         timers: TimerService,
         metrics: GatewayMetrics,
+        incarnation: int,
     ) -> None:
         self.settings = settings
         self.log = log
@@ -68,7 +68,7 @@
         self.is_leaving = False
         self.configuration = ConfigurationView()
         self.servers = ServersView()
-        self.membership = Membership(settings.name, settings.place, time.time_ns())
+        self.membership = Membership(settings.name, settings.place, incarnation)
         self._dialect = dialect
         self._store = store
         self._entry_codec = entry_codec
--- a/packages/gateway/crocusbay_gateway/log.py
+++ b/packages/gateway/crocusbay_gateway/log.py
@@ -43,11 +43,13 @@
         host: str,
         descriptor: int = 1,
         now: Callable[[], float] = time.monotonic,
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         self.left_out = 0
         self._host = host
         self._descriptor = descriptor
         self._now = now
+        self._time_of_day = time_of_day
         self._unwritten = b""
         self._reported_at = now()
         self._allowance_by_level = {
@@ -96,7 +98,7 @@
             self.left_out += 1
             return
         line = {
-            "time": round(time.time(), 3),
+            "time": round(self._time_of_day(), 3),
             "level": level,
             "host": self._host,
             "event": event,
--- /dev/null
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_network.py
@@ -0,0 +1,126 @@
+"""The emulated loop and network behave as the real ones do where hosts rely on it."""
+
+import asyncio
+import time
+from contextvars import copy_context
+
+import pytest
+
+from crocusbay_standins.emulator.loop import VirtualLoop, current_node
+from crocusbay_standins.emulator.node import Node
+
+SERVER = ("10.0.0.1", 80)
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualLoop(1)
+    yield loop
+    loop.close()
+
+
+def start(loop, node, main):
+    context = copy_context()
+    context.run(current_node.set, node)
+    return loop.create_task(main, context=context)
+
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def listen_always():
+    await asyncio.start_server(echo, *SERVER)
+    await asyncio.Event().wait()
+
+
+async def ask(data=b"hi"):
+    reader, writer = await asyncio.open_connection(*SERVER)
+    writer.write(data)
+    answer = await reader.readexactly(len(data))
+    writer.close()
+    return answer
+
+
+def test_an_hour_passes_at_once(loop):
+    started_at = time.monotonic()
+    loop.run_until_complete(asyncio.sleep(3_600.0))
+    assert loop.time() == pytest.approx(3_600.0)
+    assert time.monotonic() - started_at < 60.0
+
+
+def test_stream_carries_bytes_in_order(loop):
+    node = Node(SERVER[0])
+    start(loop, node, listen_always())
+    pieces = b"".join(bytes([number]) * 50 for number in range(200))
+    assert loop.run_until_complete(ask(pieces)) == pieces
+
+
+def test_nobody_listening_refuses(loop):
+    with pytest.raises(ConnectionRefusedError):
+        loop.run_until_complete(ask())
+
+
+def test_killed_node_resets_its_connections_and_listens_no_more(loop):
+    node = Node(SERVER[0])
+    start(loop, node, listen_always())
+
+    async def main():
+        reader, writer = await asyncio.open_connection(*SERVER)
+        loop.network.kill(node)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+        with pytest.raises(ConnectionRefusedError):
+            await ask()
+
+    loop.run_until_complete(main())
+
+
+def test_paused_node_answers_once_it_goes_on(loop):
+    node = Node(SERVER[0])
+    start(loop, node, listen_always())
+
+    async def main():
+        assert await ask() == b"hi"
+        node.is_paused = True
+        loop.call_later(5.0, loop.resume, node)
+        started_at = loop.time()
+        assert await ask() == b"hi"
+        assert loop.time() - started_at == pytest.approx(5.0, abs=0.1)
+
+    loop.run_until_complete(main())
+
+
+def test_cut_holds_back_streams_and_drops_datagrams(loop):
+    server, client = Node(SERVER[0]), Node("10.0.0.2")
+    received = []
+
+    class Receiver(asyncio.DatagramProtocol):
+        def datagram_received(self, data, address):
+            received.append((data, address))
+
+    async def listen_for_datagrams():
+        await loop.create_datagram_endpoint(Receiver, local_addr=SERVER)
+        await listen_always()
+
+    async def main():
+        reader, writer = await asyncio.open_connection(*SERVER)
+        source = ("10.0.0.2", 90)
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=source
+        )
+        loop.network.cut(server.ip, client.ip)
+        writer.write(b"held")
+        transport.sendto(b"lost", SERVER)
+        await asyncio.sleep(1.0)
+        loop.network.heal()
+        transport.sendto(b"passed", SERVER)
+        assert await reader.readexactly(4) == b"held"
+        await asyncio.sleep(0.1)
+        assert received == [(b"passed", source)]
+
+    start(loop, server, listen_for_datagrams())
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.run_until_complete(start(loop, client, main()))
--- a/packages/standins/crocusbay_standins/soak/__main__.py
+++ b/packages/standins/crocusbay_standins/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import click
 
+from crocusbay_standins.emulator.play import play
 from crocusbay_standins.soak.run import Plan, Soak
 
 
@@ -17,6 +18,7 @@
 @click.option("--callers", default=6, help="Callers, each with kept connections.")
 @click.option("--seconds", default=10.0, help="How long faults go on.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep the logs here.")
+@click.option("--emulated", is_flag=True, help="One process, on a virtual clock.")
 def main(
     first_seed: int,
     seeds: int,
@@ -24,14 +26,18 @@
     callers: int,
     seconds: float,
     logs: Path | None,
+    emulated: bool,
 ) -> None:
     """Run hosts under random faults and check their promises."""
     has_broken = False
     for seed in range(first_seed, first_seed + seeds):
         folder = (logs or Path(tempfile.mkdtemp())) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(Plan(seed, hosts, callers, seconds), folder)
-        report = asyncio.run(soak.run())
+        plan = Plan(seed, hosts, callers, seconds)
+        if emulated:
+            report = play(plan, folder)
+        else:
+            report = asyncio.run(Soak(plan, folder).run())
         click.echo(
             f"seed {seed}: {report.served} of {report.requests} served, "
             f"{len(report.faults)} faults, {len(report.broken)} broken"
--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusbay_gateway.state import Configuration
 from crocusbay_platform.names import DIALECT
@@ -48,6 +48,8 @@
     configurations: list[tuple[float, Configuration]]
     leaving: list[Leaving]
     is_calm: Callable[[str, float], bool]
+    # The most connections that clients held to each server at once.
+    most_connections: dict[str, int] = field(default_factory=dict)
 
 
 def check_all(observed: Observed) -> list[Broken]:
@@ -61,6 +63,7 @@
             check_extras,
             check_configuration,
             check_planned_stops,
+            check_connections,
         )
         for broken in check(observed)
     ]
@@ -224,3 +227,17 @@
         and outcome.ended_at - outcome.sent_at > SCHEDULING_SECONDS
         and observed.is_calm(outcome.host, outcome.ended_at)
     ]
+
+
+def check_connections(observed: Observed) -> list[Broken]:
+    """All hosts together keep to each service's limit of connections to a server."""
+    limit_by_service = {
+        service.name: service.max_connections
+        for _, configuration in observed.configurations
+        for service in configuration.services
+    }
+    return [
+        Broken("connections", "", f"{most} to {server}")
+        for server, most in observed.most_connections.items()
+        if most > limit_by_service[server.rpartition("/")[0]]
+    ]
--- a/packages/standins/crocusbay_standins/soak/faults.py
+++ b/packages/standins/crocusbay_standins/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from crocusbay_gateway.state import Configuration
@@ -11,7 +12,10 @@
 from crocusbay_standins.soak.hosts import SoakHost
 from crocusbay_standins.soak.proxy import Harm
 from crocusbay_standins.soak.servers import Behaviour, StandInServer
-from crocusbay_standins.soak.store import StandInStore
+from crocusbay_standins.soak.store import Outage, StandInStore
+
+# Takes how long it lasts (seconds).
+Fault = Callable[[float], Awaitable[None]]
 
 
 class Faults:
@@ -30,10 +34,9 @@
         self._touched: dict[str, list[tuple[float, float]]] = {}
         self._now = asyncio.get_running_loop().time
 
-    async def inject(self, seconds: float) -> None:
-        """Inject faults that overlap, each for a while, for so many seconds."""
-        until = self._now() + seconds
-        faults = [
+    def kinds(self) -> list[Fault]:
+        """Return what may be drawn; one listed twice comes twice as often."""
+        return [
             self._kill_host,
             self._pause_host,
             self._stop_host,
@@ -47,9 +50,14 @@
             self._change_configuration,
             self._change_configuration,
         ]
+
+    async def inject(self, seconds: float) -> None:
+        """Inject faults that overlap, each for a while, for so many seconds."""
+        until = self._now() + seconds
+        kinds = self.kinds()
         async with asyncio.TaskGroup() as tasks:
             while self._now() < until:
-                fault = self._rng.choice(faults)
+                fault = self._rng.choice(kinds)
                 seconds = self._rng.uniform(0.3, 3.0)
                 tasks.create_task(fault(seconds))
                 await asyncio.sleep(self._rng.uniform(0.2, 1.5))
@@ -177,9 +185,9 @@
 
     async def _store_busy(self, seconds: float) -> None:
         self._note("store busy", seconds=seconds)
-        self._store.is_busy = True
+        self._store.outage = Outage.BUSY
         await asyncio.sleep(seconds)
-        self._store.is_busy = False
+        self._store.outage = Outage.NONE
 
     async def _forget_history(self, seconds: float) -> None:
         self._note("store forgets its history")
--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -5,7 +5,7 @@
 import socket
 import subprocess
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from crocusbay_gateway.state import Bounds, GatewaySettings
@@ -48,28 +48,49 @@
 
 @dataclass
 class SoakHost:
-    """Hold one host process and the proxy between it and the store."""
+    """Hold one host and the proxy between it and the store."""
 
     settings: GatewaySettings
     folder: Path
     store_proxy: Proxy
-    process: subprocess.Popen | None = None
     is_paused: bool = False
-    # When something was last done to the host or its links.
-    touched_at: float = field(default=float("-inf"))
 
     @property
     def name(self) -> str:
         """Return the host's name."""
         return self.settings.name
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the host is there."""
+        raise NotImplementedError
+
+    def start(self) -> None:
+        """Start the host, unless it runs."""
+        raise NotImplementedError
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this host alone."""
+        raise NotImplementedError
+
+    def end(self) -> None:
+        """End the host for good."""
+        raise NotImplementedError
+
+
+@dataclass
+class ProcessHost(SoakHost):
+    """Run a host as a process of its own; its log is appended to a file."""
+
+    process: subprocess.Popen | None = None
+
     @property
     def is_running(self) -> bool:
         """Return whether the process is there."""
         return self.process is not None and self.process.poll() is None
 
     def start(self) -> None:
-        """Start the process, unless it runs; its log is appended to a file."""
+        """Start the process, unless it runs."""
         if self.is_running:
             # Two faults that overlap both bring the host back.
             return
@@ -101,13 +122,18 @@
 
 
 def make_hosts(
-    count: int, places: list[str], folder: Path, proxies: list[Proxy], first_ip: int
+    host_type: type[SoakHost],
+    count: int,
+    places: list[str],
+    folder: Path,
+    proxies: list[Proxy],
+    first_ip: int,
 ) -> list[SoakHost]:
     """Return hosts that share their ports, as on the platform."""
     ips = [f"127.77.{first_ip}.{number + 1}" for number in range(count)]
     caller, ready, entry, peer = (free_port(ips) for _ in range(4))
     return [
-        SoakHost(
+        host_type(
             GatewaySettings(
                 name=f"host-{number}",
                 place=places[number % len(places)],
--- a/packages/standins/crocusbay_standins/soak/proxy.py
+++ b/packages/standins/crocusbay_standins/soak/proxy.py
@@ -41,7 +41,11 @@
     def __init__(self, target: str) -> None:
         self.target = target
         self.harm = Harm.NONE
-        self._pairs: set[_Pair] = set()
+        # Connections that clients hold open, and the most there were.
+        self.open_connections = 0
+        self.most_connections = 0
+        # In the order of their opening, so that a seed repeats.
+        self._pairs: dict[_Pair, None] = {}
         self._server: asyncio.Server
 
     @property
@@ -49,9 +53,9 @@
         """Return where to connect."""
         return self._address
 
-    async def start(self) -> str:
-        """Listen on a port that the system chooses; return the address."""
-        self._server, self._address = await listen(self._serve)
+    async def start(self, port: int = 0) -> str:
+        """Listen on a port, or on one that the system chooses; return the address."""
+        self._server, self._address = await listen(self._serve, port)
         return self._address
 
     def close(self) -> None:
@@ -82,12 +86,20 @@
             writer.transport.abort()
             return
         pair = _Pair(writer, far, self.harm is Harm.SILENCE)
-        self._pairs.add(pair)
+        self._pairs[pair] = None
         await asyncio.gather(
-            self._pump(pair, reader, far, is_answer=False),
+            self._pump_requests(pair, reader),
             self._pump(pair, far_reader, writer, is_answer=True),
         )
-        self._pairs.discard(pair)
+        self._pairs.pop(pair, None)
+
+    async def _pump_requests(self, pair: _Pair, reader: asyncio.StreamReader) -> None:
+        self.open_connections += 1
+        self.most_connections = max(self.most_connections, self.open_connections)
+        try:
+            await self._pump(pair, reader, pair.far, is_answer=False)
+        finally:
+            self.open_connections -= 1
 
     async def _pump(
         self,
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -10,7 +10,7 @@
 from crocusbay_standins.soak.checks import Broken, Observed, check_all
 from crocusbay_standins.soak.deployment import PATHS, make_routes, make_services
 from crocusbay_standins.soak.faults import Faults
-from crocusbay_standins.soak.hosts import make_hosts
+from crocusbay_standins.soak.hosts import ProcessHost, SoakHost, make_hosts
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.servers import StandInServer
 from crocusbay_standins.soak.store import StandInStore
@@ -49,25 +49,32 @@
 
 @dataclass
 class Soak:
-    """Hold one soak."""
+    """Hold one soak of hosts of a type, harmed by faults of a type."""
 
     plan: Plan
     folder: Path
+    host_type: type[SoakHost] = ProcessHost
+    faults_type: type[Faults] = Faults
     outcomes: list[Outcome] = field(default_factory=list)
     arrivals: list = field(default_factory=list)
 
     async def run(self) -> Report:
         """Play the soak and check what was seen."""
         self._rng = random.Random(self.plan.seed)
-        self._store = StandInStore()
+        self._store = StandInStore(random.Random(f"{self.plan.seed} store"))
         address = await self._store.start()
         proxies = [Proxy(address) for _ in range(self.plan.hosts)]
         for proxy in proxies:
             await proxy.start()
         self._hosts = make_hosts(
-            self.plan.hosts, PLACES, self.folder, proxies, self.plan.seed % 250 + 1
+            self.host_type,
+            self.plan.hosts,
+            PLACES,
+            self.folder,
+            proxies,
+            self.plan.seed % 250 + 1,
         )
-        self._faults = Faults(self._rng, self._hosts, self._store)
+        self._faults = self.faults_type(self._rng, self._hosts, self._store)
         try:
             await self._play()
         finally:
@@ -92,12 +99,17 @@
             await self._faults.inject(self.plan.fault_seconds)
             await self._faults.mend()
             await asyncio.sleep(CALM_END_SECONDS)
+            self._broken_at_end = self.check_end()
             for task in running:
                 task.cancel()
         for server in self._faults.servers:
             if server.is_up:
                 server.crash()
 
+    def check_end(self) -> list[Broken]:
+        """Return what is broken while everything still runs, long after all faults."""
+        return []
+
     def _callers(self) -> list[Caller]:
         return [
             Caller(
@@ -166,8 +178,9 @@
             self._faults.configurations,
             self._faults.leaving,
             self._faults.is_calm,
+            {s.name: s.most_connections for s in self._faults.servers},
         )
-        broken = check_all(observed)
+        broken = check_all(observed) + self._broken_at_end
         since = max(outcome.ended_at for outcome in self.outcomes) - BACK_SECONDS
         last = [
             o for o in self.outcomes if o.sent_at > since and o.kind is not Kind.PROBE
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -39,6 +39,8 @@
     extra_share: float = 0.0
     refused_share: float = 0.0
     failed_share: float = 0.0
+    garbled_share: float = 0.0
+    silent_share: float = 0.0
 
 
 def records_of(service: str, attempt: str) -> list[bytes]:
@@ -68,15 +70,19 @@
     is_draining: bool = False
     drained_at: float = float("inf")
     is_up: bool = False
+    # Over all its starts.
+    most_connections: int = 0
 
-    async def start(self) -> None:
-        """Listen and register."""
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, or on one that the system chooses, and register."""
         self._queued = 0
         self._slots = asyncio.Semaphore(SLOTS)
+        self._may_run = asyncio.Event()
+        self._may_run.set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server, address = await listen(self._serve)
         self.proxy = Proxy(address)
-        await self.proxy.start()
+        await self.proxy.start(port)
         self.is_up = True
         self.is_draining = False
         self.drained_at = float("inf")
@@ -87,12 +93,19 @@
     def crash(self) -> None:
         """End at once; the entry stays until `forget`."""
         self.is_up = False
+        self.most_connections = max(self.most_connections, self.proxy.most_connections)
         self._beats.cancel()
         self._server.close()
         self.proxy.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def pause(self, seconds: float) -> None:
+        """Answer nothing for a while, as in a long collection of garbage."""
+        self._may_run.clear()
+        await asyncio.sleep(seconds)
+        self._may_run.set()
+
     def forget(self) -> None:
         """Remove the entry, as when it lapses."""
         self.store.remove_server(self.name)
@@ -154,6 +167,7 @@
                 await asyncio.sleep(
                     self.behaviour.work_seconds * self.rng.uniform(0.5, 1.5)
                 )
+                await self._may_run.wait()
         finally:
             self._queued -= 1
         return self._write_answer(attempt, writer)
@@ -172,6 +186,8 @@
         if self.rng.random() < behaviour.lost_share:
             writer.transport.abort()
             return False
+        if self.rng.random() < behaviour.silent_share:
+            return True
         status = 500 if self.rng.random() < behaviour.failed_share else 200
         records = records_of(self.service, attempt)
         self.rng.shuffle(records)
@@ -180,6 +196,9 @@
             (DIALECT.signature, signature_of(self.name, attempt)),
         )
         data = encode_reply(Reply(status, headers, b"".join(records)))
+        if self.rng.random() < behaviour.garbled_share:
+            writer.write(self.rng.randbytes(len(data)))
+            return False
         if self.rng.random() < behaviour.cut_share:
             writer.write(data[: len(data) // 2])
             return False
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -1,6 +1,8 @@
 """Stand-in for the platform's store: objects, revisions and watches."""
 
 import asyncio
+import random
+from enum import StrEnum
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -25,13 +27,30 @@
 HISTORY_EVENTS = 400
 
 
+class Outage(StrEnum):
+    """Name how the store fails its callers."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+_STATUS_BY_OUTAGE = {Outage.BUSY: 503, Outage.MANY: 429}
+
+
 class StandInStore:
     """Hold objects by kind and name; answer over HTTP."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
         self.revision = 1
+        self._rng = rng
         self.calls = 0
-        self.is_busy = False
+        self.outage = Outage.NONE
+        # What an answer takes, and the share of writes that are done and not answered.
+        self.answer_seconds = 0.0
+        self.lost_share = 0.0
         self._by_kind: dict[str, dict[str, StoredObject]] = {}
         self._history: list[tuple[int, str, Event]] = []
         self._forgotten = 0
@@ -53,8 +72,10 @@
         self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, spec)
 
     def put_server(self, entry: ServerEntry, seq: int) -> None:
-        """Write a server's entry."""
-        self._put(SERVERS_KIND, entry.name, msgspec.Raw(encode_entry(entry, seq)))
+        """Write a server's entry, unless the store is away."""
+        if self.outage is Outage.NONE:
+            spec = msgspec.Raw(encode_entry(entry, seq))
+            self._put(SERVERS_KIND, entry.name, spec)
 
     def remove_server(self, name: str) -> None:
         """Remove a server's entry."""
@@ -62,6 +83,11 @@
         if held is not None:
             self._note(SERVERS_KIND, Event(held, deleted=True))
 
+    def lapse(self) -> None:
+        """Remove the entries of all servers, as when leases run out meanwhile."""
+        for name in list(self._by_kind.get(SERVERS_KIND, {})):
+            self.remove_server(name)
+
     def forget_history(self) -> None:
         """Drop the events so far, so that watches must list again."""
         self._history.clear()
@@ -92,7 +118,15 @@
             while True:
                 method, target, body = await read_request(reader)
                 self.calls += 1
+                if self.outage is Outage.RESET:
+                    writer.transport.abort()
+                    return
+                if self.outage is Outage.SILENT:
+                    continue
+                await asyncio.sleep(self.answer_seconds)
                 status, answer = await self._answer(method, target, body)
+                if method != "GET" and self._rng.random() < self.lost_share:
+                    continue
                 reply = Reply(status, body=msgspec.json.encode(answer))
                 writer.write(encode_reply(reply))
                 await writer.drain()
@@ -100,8 +134,8 @@
             writer.close()
 
     async def _answer(self, method: str, target: str, body: bytes):
-        if self.is_busy:
-            return 503, {}
+        if self.outage in _STATUS_BY_OUTAGE:
+            return _STATUS_BY_OUTAGE[self.outage], {}
         url = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         kind = url.path.removeprefix(OBJECTS_PATH).split("/")[1]
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -1,5 +1,7 @@
 """The checks notice what they are there for."""
 
+from dataclasses import replace
+
 import pytest
 
 from crocusbay_gateway.state import (
@@ -12,7 +14,7 @@
 from crocusbay_platform.names import DIALECT
 from crocusbay_standins.soak import checks
 from crocusbay_standins.soak.callers import Kind, Outcome
-from crocusbay_standins.soak.hosts import make_hosts
+from crocusbay_standins.soak.hosts import ProcessHost, make_hosts
 from crocusbay_standins.soak.servers import Arrival, records_of
 
 SHARDS = ("s0", "s1", "s2")
@@ -119,6 +121,12 @@
     assert bool(checks.check_extras(seen)) == is_broken
 
 
+@pytest.mark.parametrize(("most", "is_broken"), [(9, False), (10, True)])
+def test_connections_beyond_the_limit_are_noticed(most, is_broken):
+    seen = replace(observed(), most_connections={"s0/1": most})
+    assert bool(checks.check_connections(seen)) == is_broken
+
+
 @pytest.mark.parametrize(
     ("ended_at", "is_calm", "is_broken"),
     [(10.1, True, False), (11.0, True, True), (11.0, False, False)],
@@ -130,7 +138,7 @@
 
 
 def test_host_that_runs_is_not_started_twice(tmp_path):
-    (host,) = make_hosts(1, ["a"], tmp_path, [_NoProxy()], first_ip=251)
+    (host,) = make_hosts(ProcessHost, 1, ["a"], tmp_path, [_NoProxy()], first_ip=251)
     try:
         host.start()
         first = host.process
