Gather parts of other data centres through hosts there

Change: a host hands its sends to another data centre to a host there, which sends once to each server named, merges and answers. Choices, extras and the answer stay with the caller's host. One query at a time on a connection; extras through relays too; direct sends where no connection is free, for small answers, and where a relay was not heard.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -148,11 +148,15 @@
         """Return whether the request went out, rather than wait for a connection."""
         return self.exchange.is_sent
 
+    @property
+    def age(self) -> float:
+        """Return the time since the attempt was made (seconds)."""
+        return self._context.timers.now() - self._started_at
+
     @property
     def is_stuck(self) -> bool:
         """Return whether the request has waited for longer than a handshake takes."""
-        waited = self._context.timers.now() - self._started_at
-        return not self.is_sent and waited >= HANDSHAKE_SECONDS
+        return not self.is_sent and self.age >= HANDSHAKE_SECONDS
 
     def withdraw(self) -> None:
         """Take back a request that still waits for a connection to its server."""
@@ -209,7 +213,7 @@
         self.server.health.done(exchange)
         verdict = self._judge(verdict)
         now = self._context.timers.now()
-        elapsed = now - exchange.sent_at if exchange.is_sent else 0.0
+        elapsed = exchange.elapsed(now)
         self.server.health.learn(verdict, elapsed, self._timing.usual.value, now)
         if not self.is_extra and isinstance(verdict, Ran):
             self._timing.add(elapsed)
@@ -219,7 +223,7 @@
         self.server.health.done(exchange)
         verdict = self._judge(verdict)
         now = self._context.timers.now()
-        elapsed = now - exchange.sent_at
+        elapsed = exchange.elapsed(now)
         self.server.health.learn(verdict, elapsed, self._timing.usual.value, now)
         if not self.is_extra and isinstance(verdict, Ran):
             self._timing.add(elapsed)
--- a/packages/gateway/crocusbay_gateway/coordination/context.py
+++ b/packages/gateway/crocusbay_gateway/coordination/context.py
@@ -5,6 +5,7 @@
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
+from crocusbay_gateway.coordination.relaying import Relays
 from crocusbay_gateway.log import DecisionLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import Dialect
@@ -20,3 +21,4 @@
     quarantine: Quarantine
     log: DecisionLog
     metrics: GatewayMetrics
+    relays: Relays
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -16,11 +16,19 @@
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import fingerprint
+from crocusbay_gateway.coordination.records import greatest_records
 from crocusbay_gateway.coordination.refusal import reply_to_failure
-from crocusbay_gateway.protocol import Strike
+from crocusbay_gateway.coordination.relay import (
+    LEAST_EXTRAS,
+    LEAST_RELAYED,
+    LEAST_TOP,
+    flush_time,
+    group_by_place,
+)
+from crocusbay_gateway.coordination.relaying import Relay, RelayCall
+from crocusbay_gateway.protocol import RelayedSend, Strike
 from crocusbay_gateway.state import CallerRequest, Reply, Route, ServerAnswer, ToShards
 
-RECORD_BYTES = 16
 # Part of the extras that hedges may take; the rest is for retries of failed parts.
 HEDGE_SHARE_OF_EXTRAS = 0.8
 # Sends of one part, those that a server rejected included.
@@ -78,6 +86,7 @@
         self._parts = 0
         self._pending = len(self.legs)
         self._crashed: set[str] = set()
+        self._call_by_attempt: dict[Attempt, RelayCall] = {}
         self._done: asyncio.Future[Decision] | None = None
         self._timers: list[Timer] = []
         self._check_timer: Timer | None = None
@@ -88,6 +97,7 @@
         return {
             "parts": self._parts,
             "shards": len(self.legs),
+            "relayed": len(self._call_by_attempt),
             "hedges": self.hedges,
             "retries": self.retries,
             "late_after_ms": round(self._timing.late_after * 1000, 1),
@@ -113,14 +123,63 @@
         now = self._now()
         for leg in self.legs:
             self._context.registry.budget(leg.service).note_request(now)
-        for leg in self.legs:
-            if not self._send(leg, "first"):
+        attempts = [self._prepare(leg, "first") for leg in self.legs]
+        for leg, attempt in zip(self.legs, attempts, strict=True):
+            if attempt is None:
                 self._fail(leg)
-        self._at(now + self._timing.late_after, self._hedge_late)
+        timing = self._timing
+        self._dispatch(
+            list(filter(None, attempts)),
+            LEAST_RELAYED,
+            flush_time(timing.usual.value, timing.late_after),
+        )
+        self._at(now + timing.late_after, self._hedge_late)
         self._check()
 
+    def _dispatch(
+        self, attempts: list[Attempt], least: int, flush_after: float
+    ) -> None:
+        """Send to servers here, and through relays to those in other data centres.
+
+        A relay that gets `least` sends or more answers after `flush_after` (seconds).
+        """
+        remote = group_by_place(
+            (
+                (attempt.server.entry.place, attempt)
+                for attempt in attempts
+                if attempt.server.is_remote and self._target.top >= LEAST_TOP
+            ),
+            least,
+        )
+        relayed: set[Attempt] = set()
+        for place, group in remote.items():
+            relay = self._context.relays.to(place)
+            if relay is not None:
+                relayed.update(group)
+                self._relay(relay, group, flush_after)
+        for attempt in attempts:
+            if attempt not in relayed:
+                attempt.send()
+
+    def _relay(self, relay: Relay, group: list[Attempt], flush_after: float) -> None:
+        sends = [
+            (RelayedSend(a.server.entry.service, a.server.entry.name), a.exchange)
+            for a in group
+        ]
+        left = self._policy.give_up_at - self._now()
+        call = relay.submit(self._request, sends, left, flush_after, self._target.top)
+        self._call_by_attempt.update(dict.fromkeys(group, call))
+
     def _send(self, leg: Leg, reason: str) -> bool:
         """Send a part to the best server left; return whether one was there."""
+        attempt = self._prepare(leg, reason)
+        if attempt is None:
+            return False
+        self._dispatch([attempt], LEAST_EXTRAS, 0.0)
+        return True
+
+    def _prepare(self, leg: Leg, reason: str) -> Attempt | None:
+        """Return an attempt at the best server left, or None if there is none."""
         attempt = self._sender.prepare(
             leg.tries,
             leg.service,
@@ -128,11 +187,9 @@
             HEDGE_SHARE_OF_EXTRAS if reason == "hedge" else 1.0,
             lambda sent, verdict: self._take(leg, sent, verdict),
         )
-        if attempt is None:
-            return False
-        leg.open.append(attempt)
-        attempt.send()
-        return True
+        if attempt is not None:
+            leg.open.append(attempt)
+        return attempt
 
     def _hedge_late(self) -> None:
         """Send each part that is late to a second server.
@@ -140,16 +197,21 @@
         What could not be hedged, for lack of a server or of the budget, is tried again
         a little later.
         """
-        for leg in self.legs:
-            if leg.is_pending and leg.open and not leg.has_hedged:
-                self._hedge(leg)
+        late = [
+            leg
+            for leg in self.legs
+            if leg.is_pending and leg.open and not leg.has_hedged
+        ]
+        hedges = [self._hedge(leg) for leg in late]
+        self._dispatch(list(filter(None, hedges)), LEAST_EXTRAS, 0.0)
         now = self._now()
         again = now + HEDGE_AGAIN_SHARE * self._timing.late_after
         if again < self._policy.answer_by:
             self._at(again, self._hedge_late)
         self._check()
 
-    def _hedge(self, leg: Leg) -> None:
+    def _hedge(self, leg: Leg) -> Attempt | None:
+        """Return a second attempt at a part, if there is one that is not sent yet."""
         (attempt,) = leg.open
         if attempt.is_stuck:
             # The server takes no connection: the part moves on, at no cost.
@@ -157,13 +219,23 @@
             attempt.withdraw()
             leg.tries.ended(attempt, may_have_run=False)
             self._retry(leg, NotRun(Cause.CONNECT_FAILED))
-            return
+            return None
         if not attempt.is_sent:
-            return
+            return None
         leg.tries.has_arrived = True
-        if self._route.max_attempts > 1 and self._send(leg, "hedge"):
-            leg.has_hedged = True
-            self.hedges += 1
+        if self._route.max_attempts < 2:
+            return None
+        hedge = self._prepare(leg, "hedge")
+        if hedge is None:
+            return None
+        leg.has_hedged = True
+        self.hedges += 1
+        call = self._call_by_attempt.get(attempt)
+        if call is not None and not call.is_heard:
+            # Others of its data centre may be cut off as well.
+            hedge.send()
+            return None
+        return hedge
 
     def _take(self, leg: Leg, attempt: Attempt, verdict: Verdict) -> None:
         """Take the verdict of one attempt."""
@@ -336,17 +408,6 @@
         return reply_to_failure(NotRun(Cause.NO_UPSTREAM), left)
 
 
-def greatest_records(body: bytes, top: int) -> list[bytes]:
-    """Return the greatest records of a part, greatest first.
-
-    >>> greatest_records(b"a" * 16 + b"b" * 16 + b"rest", 1) == [b"b" * 16]
-    True
-    """
-    ends = range(RECORD_BYTES, len(body) + 1, RECORD_BYTES)
-    records = sorted((body[end - RECORD_BYTES : end] for end in ends), reverse=True)
-    return records[:top]
-
-
 def least_parts(target: ToShards) -> int:
     """Return how many parts a success needs.
 
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -6,6 +6,7 @@
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.relayed import RelayedGathers
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import DecisionLog
@@ -37,6 +38,7 @@
         quarantine: Quarantine,
         describe: Callable[[int, str], HostStatus],
         on_hosts: Callable[[], None],
+        relayed: RelayedGathers,
         log: DecisionLog,
         timers: TimerService,
         spawn: Callable,
@@ -58,6 +60,8 @@
             self._take_beat,
             self._view_answer,
             lambda reason: log.warning("malformed-peer-message", reason=reason),
+            relayed.take,
+            relayed.lose,
         )
 
     async def start(self, ip: str, port: int) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -131,6 +131,13 @@
                 best, best_cost = server, cost
         return best
 
+    def find(self, service: str, name: str) -> Server | None:
+        """Return a usable server of a service by its name."""
+        server = self._by_name.get(name)
+        if server is None or not server.entry.is_usable:
+            return None
+        return server if server.entry.service == service else None
+
     def has_server(self, service: str) -> bool:
         """Return whether any server of the service takes work."""
         return bool(self.by_service.get(service))
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -12,7 +12,9 @@
 from crocusbay_gateway.coordination.partial import WAY_SECONDS, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.refusal import refuse
+from crocusbay_gateway.coordination.relayed import RelayedGathers
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
+from crocusbay_gateway.protocol import RelayQuery
 from crocusbay_gateway.state import (
     CallerRequest,
     Configuration,
@@ -49,6 +51,7 @@
         self._admission = admission_for(cores)
         self._timing_by_route: dict[str, RouteTiming] = {}
         self._split_by_route: dict[str, Split] = {}
+        self.relayed = RelayedGathers(context, self.plan_relay)
         configuration.subscribe(self._drop_stale_routes)
 
     async def handle(self, request: CallerRequest) -> Reply:
@@ -83,13 +86,24 @@
             if age > UNSURE_SECONDS:
                 return None, refuse(Cause.PLATFORM_UNAVAILABLE, self._left(request))
             return None, Reply(STATUS_NOT_FOUND, outcome="no-route")
-        if not self._admission.admits(self.running, route.rank):
+        if not self._admission.admits(self.running + self.relayed.running, route.rank):
             return route, refuse(Cause.OVERLOAD, self._left(request))
         now = self._context.timers.now()
         if self._context.quarantine.holds(fingerprint(request), now):
             return route, refuse(Cause.QUARANTINED)
         return route, None
 
+    def plan_relay(self, query: RelayQuery) -> tuple[Route, RouteTiming] | Cause:
+        """Return the route of another host's query, or why it is not taken."""
+        configuration = self._configuration.configuration
+        path = query.target.partition("?")[0]
+        route = configuration and configuration.find(query.host, path)
+        if route is None or not isinstance(route.target, ToShards):
+            return Cause.NO_UPSTREAM
+        if not self._admission.admits(self.running + self.relayed.running, route.rank):
+            return Cause.OVERLOAD
+        return route, self._timing(route)
+
     def _make_job(self, request: CallerRequest, route: Route) -> Gather | Forward:
         give_up_at = request.received_at + route.timeout
         if request.deadline is not None:
--- a/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/replay.py
@@ -10,8 +10,10 @@
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.attempt import RouteTiming
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
+from crocusbay_gateway.coordination.relaying import Relays
 from crocusbay_gateway.log import DecisionLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol.tests.dialect import DIALECT
@@ -142,19 +144,23 @@
 class World:
     """Hold scripted servers of some services, and the context to serve with."""
 
-    def __init__(self, servers_by_service, place="a", bounds=None):
-        self.timers = VirtualTimers()
+    def __init__(self, servers_by_service, place="a", bounds=None, timers=None):
+        self.timers = timers or VirtualTimers()
         bounds = bounds or Bounds(extra_burst=600.0)
         self.registry = Registry(place, DIALECT, bounds, self.timers, None)
         read_end, write_end = os.pipe()
         self.log_pipe = read_end
+        log = DecisionLog("test", write_end, self.timers.now)
+        # Nobody is heard, so that no part is relayed unless a test says so.
+        membership = Membership("host-0", place, 1)
         self.context = Context(
             DIALECT,
             self.timers,
             self.registry,
             Quarantine(),
-            DecisionLog("test", write_end, self.timers.now),
+            log,
             GatewayMetrics(),
+            Relays(membership, self.timers, log, None),
         )
         services = tuple(Service(name, 50) for name in servers_by_service)
         self.registry.set_configuration(Configuration(1, (), services))
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from crocusbay.state import split_address
+from crocusbay.state import Cause, split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.peering import Peering
@@ -13,6 +13,7 @@
     STRIKES_TO_QUARANTINE,
     Quarantine,
 )
+from crocusbay_gateway.coordination.relayed import RelayedGathers
 from crocusbay_gateway.coordination.store import StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import DecisionLog
@@ -42,6 +43,7 @@
             self.quarantine,
             self.describe,
             lambda: None,
+            RelayedGathers(None, lambda query: Cause.OVERLOAD),
             DecisionLog(name, write_end),
             timers,
             spawn,
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -16,6 +16,7 @@
 from crocusbay_gateway.coordination.peering import Peering
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
+from crocusbay_gateway.coordination.relaying import Relays
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.store import Store
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
@@ -143,6 +144,7 @@
             self.quarantine,
             self.log,
             self.metrics,
+            Relays(self.membership, self.timers, self.log, tasks.start_soon),
         )
         self.requests = RequestService(
             context, self.configuration, self.servers, settings.cores
@@ -174,6 +176,7 @@
             self.quarantine,
             self._describe,
             self._set_hosts,
+            self.requests.relayed,
             self.log,
             self.timers,
             tasks.start_soon,
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -8,6 +8,14 @@
     ViewAnswer,
     ViewQuery,
 )
+from crocusbay_gateway.protocol.relay import (
+    RelayAnswer,
+    RelayedFailure,
+    RelayedPart,
+    RelayedSend,
+    RelayLeave,
+    RelayQuery,
+)
 from crocusbay_gateway.protocol.wire import (
     HOP_BY_HOP,
     encode_reply,
@@ -20,6 +28,12 @@
     "Beat",
     "Dialect",
     "KnownHost",
+    "RelayAnswer",
+    "RelayLeave",
+    "RelayQuery",
+    "RelayedFailure",
+    "RelayedPart",
+    "RelayedSend",
     "Strike",
     "ViewAnswer",
     "ViewQuery",
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -29,7 +29,7 @@
     hosts_by_place: dict[str, int] = {}
 
 
-class ViewQuery(msgspec.Struct, frozen=True, array_like=True):
+class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
     """Ask for what the asker lacks beyond the revisions that it holds."""
 
     configuration_revision: int = 0
--- a/packages/gateway/crocusbay_gateway/transport/__init__.py
+++ b/packages/gateway/crocusbay_gateway/transport/__init__.py
@@ -3,15 +3,22 @@
 from crocusbay_gateway.transport.caller import CallerServer
 from crocusbay_gateway.transport.connection import Exchange, ServerConnection
 from crocusbay_gateway.transport.page import serve_pages
-from crocusbay_gateway.transport.peer import PeerEndpoint, fetch_view
+from crocusbay_gateway.transport.peer import (
+    FrameConnection,
+    PeerEndpoint,
+    connect_relay,
+    fetch_view,
+)
 from crocusbay_gateway.transport.pool import ServerPool
 
 __all__ = [
     "CallerServer",
     "Exchange",
+    "FrameConnection",
     "PeerEndpoint",
     "ServerConnection",
     "ServerPool",
+    "connect_relay",
     "fetch_view",
     "serve_pages",
 ]
--- a/packages/gateway/crocusbay_gateway/transport/connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 import httptools
 
@@ -14,6 +15,15 @@
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
+class Carrier(Protocol):
+    """Carry exchanges to servers."""
+
+    current: "Exchange | None"
+
+    def close(self, cause: Cause = Cause.CANCELLED) -> None:
+        """End the exchange under way."""
+
+
 class Exchange:
     """Carry one request to one server; deliver exactly one verdict.
 
@@ -30,6 +40,7 @@
         "is_sole",
         "is_sent",
         "sent_at",
+        "took",
         "connection",
         "_deliver",
     )
@@ -50,7 +61,10 @@
         self.is_sole = is_sole
         self.is_sent = False
         self.sent_at = 0.0
-        self.connection: ServerConnection | None = None
+        # What the server took, if the way was longer than usual (seconds).
+        self.took: float | None = None
+        # What carries it: `close` of it ends the exchange that is `current` there.
+        self.connection: Carrier | None = None
         self._deliver = deliver
 
     def redirect(self, deliver: Callable[["Exchange", Verdict], None]) -> None:
@@ -65,6 +79,12 @@
         deliver, self._deliver, self.data = self._deliver, None, b""
         deliver(self, verdict)
 
+    def elapsed(self, now: float) -> float:
+        """Return how long the server has taken, or 0 if nothing was sent (seconds)."""
+        if not self.is_sent:
+            return 0.0
+        return now - self.sent_at if self.took is None else self.took
+
     def fail(self, cause: Cause, detail: str = "") -> None:
         """Deliver a failure that says whether the request may have run."""
         kind = MayHaveRun if self.is_sent else NotRun
--- a/packages/gateway/crocusbay_gateway/transport/peer.py
+++ b/packages/gateway/crocusbay_gateway/transport/peer.py
@@ -1,44 +1,139 @@
-"""Messages between hosts: beats over UDP, views over a TCP connection of their own.
+"""Messages between hosts: beats over UDP, views and relayed parts over TCP.
 
 Datagrams have no connection that could go silent, and a beat lost is made good by the
-next. A view is fetched on a new connection, since it is seldom needed.
+next. A view is fetched on a new connection, since it is seldom needed; connections for
+relayed parts are kept.
 """
 
 import asyncio
 import socket
 import zlib
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import msgspec
 
 from crocusbay.state import split_address
-from crocusbay_gateway.protocol import Beat, ViewAnswer, ViewQuery
+from crocusbay_gateway.protocol import (
+    Beat,
+    RelayAnswer,
+    RelayLeave,
+    RelayQuery,
+    ViewAnswer,
+    ViewQuery,
+)
 
 FETCH_TIMEOUT_SECONDS = 1.5
 MAX_VIEW_BYTES = 16 * 1024 * 1024
-MAX_QUERY_BYTES = 1024
+# A caller's largest body, with room for headers and for what the limits may become.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Bytes that the other host has not taken, beyond which it counts as silent.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+LENGTH_BYTES = 4
 # Larger datagrams are split by the network and lost more often.
 MAX_BEAT_BYTES = 1_400
 
 _beat_decoder = msgspec.msgpack.Decoder(Beat)
-_query_decoder = msgspec.msgpack.Decoder(ViewQuery)
+_query_decoder = msgspec.msgpack.Decoder(ViewQuery | RelayQuery | RelayLeave)
 _answer_decoder = msgspec.msgpack.Decoder(ViewAnswer)
+_relay_decoder = msgspec.msgpack.Decoder(RelayAnswer)
 _encoder = msgspec.msgpack.Encoder()
 
 
+class FrameConnection(asyncio.Protocol):
+    """Exchange messages with another host, each with its length before it."""
+
+    def __init__(
+        self,
+        decoder: msgspec.msgpack.Decoder,
+        on_message: Callable[["FrameConnection", Any], None],
+        on_lost: Callable[["FrameConnection"], None] = lambda connection: None,
+        on_malformed: Callable[[str], None] = lambda reason: None,
+    ) -> None:
+        self.is_closed = False
+        self._decoder = decoder
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._on_malformed = on_malformed
+        self._received = bytearray()
+        self._transport: asyncio.Transport
+
+    def send(self, message: msgspec.Struct) -> None:
+        """Send a message; the connection ends if the other host takes no more."""
+        if self.is_closed:
+            return
+        self._transport.write(frame(message))
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._transport.abort()
+
+    def finish(self, data: bytes) -> None:
+        """Send the last bytes and close."""
+        self._transport.write(data)
+        self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport (called by the event loop)."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Take each message that is complete (called by the event loop)."""
+        self._received += data
+        while not self.is_closed and len(self._received) >= LENGTH_BYTES:
+            end = LENGTH_BYTES + int.from_bytes(self._received[:LENGTH_BYTES])
+            if end > MAX_FRAME_BYTES:
+                self._end(f"message of {end} bytes")
+                return
+            if len(self._received) < end:
+                return
+            content = bytes(self._received[LENGTH_BYTES:end])
+            del self._received[:end]
+            try:
+                message = self._decoder.decode(content)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                self._end(str(error))
+                return
+            self._on_message(self, message)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report the end (called by the event loop)."""
+        self.is_closed = True
+        self._on_lost(self)
+
+    def _end(self, reason: str) -> None:
+        self._on_malformed(reason)
+        self._transport.abort()
+
+
+def frame(message: msgspec.Struct) -> bytes:
+    """Return a message with its length before it."""
+    content = _encoder.encode(message)
+    return len(content).to_bytes(LENGTH_BYTES) + content
+
+
 class PeerEndpoint(asyncio.DatagramProtocol):
-    """Send and receive beats, and answer queries for views."""
+    """Send and receive beats, and take queries.
+
+    `on_query` is called with the connection and each query that is not for a view.
+    """
 
     def __init__(
         self,
         on_beat: Callable[[Beat], None],
         answer: Callable[[ViewQuery], ViewAnswer],
         on_malformed: Callable[[str], None],
+        on_query: Callable[[FrameConnection, RelayQuery | RelayLeave], None],
+        on_lost: Callable[[FrameConnection], None],
     ) -> None:
         self.sent_bytes = 0
         self._on_beat = on_beat
         self._answer = answer
+        self._on_query = on_query
+        self._on_lost = on_lost
         self._on_malformed = on_malformed
         self._transport: asyncio.DatagramTransport
         self._server: asyncio.Server
@@ -46,8 +141,13 @@
     async def start(self, ip: str, port: int) -> str:
         """Listen on one port for datagrams and streams; return the address bound."""
         loop = asyncio.get_running_loop()
-        self._server = await asyncio.start_server(
-            self._serve_view, ip, port, family=socket.AF_INET
+        self._server = await loop.create_server(
+            lambda: FrameConnection(
+                _query_decoder, self._take_query, self._on_lost, self._on_malformed
+            ),
+            ip,
+            port,
+            family=socket.AF_INET,
         )
         bound = self._server.sockets[0].getsockname()[1]
         await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, bound))
@@ -81,19 +181,27 @@
     def error_received(self, error: OSError) -> None:
         """Ignore an unreachable peer, which its silence shows (event loop)."""
 
-    async def _serve_view(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            with anyio.move_on_after(FETCH_TIMEOUT_SECONDS):
-                data = await reader.read(MAX_QUERY_BYTES)
-                answer = self._answer(_query_decoder.decode(data))
-                writer.write(zlib.compress(_encoder.encode(answer), 1))
-                await writer.drain()
-        except (OSError, msgspec.DecodeError) as error:
-            self._on_malformed(f"query for a view: {error}")
-        finally:
-            writer.close()
+    def _take_query(self, connection: FrameConnection, query: Any) -> None:
+        if isinstance(query, ViewQuery):
+            answer = _encoder.encode(self._answer(query))
+            connection.finish(zlib.compress(answer, 1))
+        else:
+            self._on_query(connection, query)
+
+
+async def connect_relay(
+    address: str,
+    on_answer: Callable[[FrameConnection, RelayAnswer], None],
+    on_lost: Callable[[FrameConnection], None],
+) -> FrameConnection:
+    """Return a connection to another host; raise OSError or TimeoutError."""
+    ip, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    with anyio.fail_after(FETCH_TIMEOUT_SECONDS):
+        _, connection = await loop.create_connection(
+            lambda: FrameConnection(_relay_decoder, on_answer, on_lost), ip, port
+        )
+    return connection
 
 
 async def fetch_view(address: str, query: ViewQuery) -> ViewAnswer:
@@ -102,7 +210,7 @@
     with anyio.fail_after(FETCH_TIMEOUT_SECONDS):
         reader, writer = await asyncio.open_connection(ip, port)
         try:
-            writer.write(_encoder.encode(query))
+            writer.write(frame(query))
             data = await reader.read(-1)
         finally:
             writer.close()
--- a/packages/standins/crocusbay_standins/emulator/tests/test_play.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_play.py
@@ -7,6 +7,8 @@
 
 PLANS = [
     Plan(1, **SHORT),
+    # With parts relayed between data centres.
+    Plan(2000, hosts=6, places=3),
     # Failed once: a host whose clock was set back and that was then killed was not
     # heard by the others for a minute, since its new start seemed to be an older one.
     Plan(1007),
--- a/packages/standins/crocusbay_standins/soak/deployment.py
+++ b/packages/standins/crocusbay_standins/soak/deployment.py
@@ -4,6 +4,8 @@
 from crocusbay_standins.soak.callers import Kind
 
 SHARDS = 6
+# Enough for parts from other data centres to be relayed.
+TOP = 20
 PATHS = {Kind.GATHER: "/all/", Kind.FETCH: "/one/", Kind.ORDER: "/order/"}
 GOAL_SECONDS = 0.3
 TIMEOUT_SECONDS = 1.8
@@ -19,7 +21,7 @@
     """Return the routes after so many changes; each adds one and drops the last."""
     shards = tuple(f"shard{number}" for number in range(SHARDS))
     targets = {
-        PATHS[Kind.GATHER]: (RouteKind.IDEMPOTENT, ToShards(shards, 5, 0.6)),
+        PATHS[Kind.GATHER]: (RouteKind.IDEMPOTENT, ToShards(shards, TOP, 0.6)),
         PATHS[Kind.FETCH]: (RouteKind.IDEMPOTENT, ToService("single")),
         PATHS[Kind.ORDER]: (RouteKind.NON_IDEMPOTENT, ToService("orders")),
         f"/v{change}/": (RouteKind.IDEMPOTENT, ToService("single")),
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -15,7 +15,7 @@
 from crocusbay_standins.soak.servers import StandInServer
 from crocusbay_standins.soak.store import StandInStore
 
-PLACES = ["a", "b"]
+PLACES = ["a", "b", "c"]
 WARM_UP_SECONDS = 4.0
 READY_SECONDS = 20.0
 # The last part of a run has no faults, and service must be back by its second half.
@@ -34,6 +34,8 @@
     hosts: int = 4
     callers: int = 6
     fault_seconds: float = 10.0
+    # With three, each shard has no server in one of them.
+    places: int = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
         self._hosts = make_hosts(
             self.host_type,
             self.plan.hosts,
-            PLACES,
+            PLACES[: self.plan.places],
             self.folder,
             proxies,
             self.plan.seed % 250 + 1,
@@ -127,18 +129,23 @@
             StandInServer(
                 f"{service.name}/{number}",
                 service.name,
-                PLACES[number % len(PLACES)],
+                self._place(index, number),
                 self._store,
                 self.arrivals,
                 random.Random(f"{self.plan.seed} {service.name} {number}"),
             )
-            for service in make_services()
+            for index, service in enumerate(make_services())
             for number in range(SERVERS_PER_SERVICE)
         ]
         for server in servers:
             await server.start()
         return servers
 
+    def _place(self, service: int, number: int) -> str:
+        """Return where a server stands: with three places, each lacks some services."""
+        places = PLACES[: self.plan.places]
+        return places[(number + service * (len(places) - 2)) % len(places)]
+
     async def _wait_ready(self) -> None:
         probe = Caller("warm", self._hosts, self.outcomes, self._rng, PATHS)
         async with asyncio.timeout(READY_SECONDS):
