--- a/packages/command/crocusbay_command/main.py
+++ b/packages/command/crocusbay_command/main.py
@@ -227,6 +227,27 @@
             click.echo(f"  {line}")
 
 
+@main.command()
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@click.option(
+    "--html",
+    type=click.Path(path_type=Path, dir_okay=False, writable=True),
+    required=True,
+    help="Write the page here.",
+)
+def report(logs: tuple, html: Path) -> None:
+    """Draw a day from the LOGS of hosts as one page; - is standard input."""
+    # Loading the charts' library takes longer than most commands.
+    from crocusbay_command.report import NoRequestsError, read_day, render_day
+
+    try:
+        day = read_day(line for log in logs for line in log)
+    except NoRequestsError as error:
+        _end(str(error), EXIT_REFUSED)
+    html.write_text(render_day(day), encoding="utf-8")
+    click.echo(f"{len(day.requests)} requests drawn in {html}")
+
+
 def _load(file: Path) -> Questionnaire:
     try:
         text = file.read_text(encoding="utf-8")
