--- a/packages/gateway/crocusbay_gateway/coordination/relay.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay.py
@@ -15,7 +15,7 @@
 # Fewer parts cross about as cheaply on their own.
 LEAST_RELAYED = 2
 # With fewer records for the caller, parts are hardly longer than their headers.
-LEAST_TOP = 20
+LEAST_TOP = 10
 # An extra goes to a relay alone, which has connections to its servers already.
 LEAST_EXTRAS = 1
 # Hosts of one data centre that a host relays through, so that connections don't grow
