Share the frame of gathers and forwards; part legs, dispatch and calls from them

Change: `job.py` holds the frame, `dispatch.py` what goes out directly or by relay, `leg.py` and `relay_call.py` their records; `least_parts` stands with the partial policy.

--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/dispatch.py
@@ -0,0 +1,80 @@
+"""Dispatch: the parts of one gather go out, directly or through relays."""
+
+from collections.abc import Sequence
+
+from crocusbay_gateway.coordination.attempt import Attempt, RouteTiming
+from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.relay import (
+    LEAST_EXTRAS,
+    LEAST_RELAYED,
+    LEAST_TOP,
+    flush_time,
+    group_by_place,
+)
+from crocusbay_gateway.coordination.relay_call import RelayCall
+from crocusbay_gateway.coordination.relaying import Relay
+from crocusbay_gateway.protocol import RelayedSend
+from crocusbay_gateway.state import CallerRequest
+
+
+class Dispatch:
+    """Send attempts at servers of other data centres through hosts there."""
+
+    def __init__(
+        self, context: Context, request: CallerRequest, top: int, give_up_at: float
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._top = top
+        self._give_up_at = give_up_at
+        self._call_by_attempt: dict[Attempt, RelayCall] = {}
+
+    @property
+    def relayed(self) -> int:
+        """Return how many attempts went through relays."""
+        return len(self._call_by_attempt)
+
+    def send_first(self, attempts: Sequence[Attempt], timing: RouteTiming) -> None:
+        """Send the first attempts of all parts."""
+        flush_after = flush_time(timing.usual.value, timing.late_after)
+        self._send(attempts, LEAST_RELAYED, flush_after)
+
+    def send_extras(self, attempts: Sequence[Attempt]) -> None:
+        """Send hedges or retries; each answers as soon as it can."""
+        self._send(attempts, LEAST_EXTRAS, 0.0)
+
+    def is_unheard(self, attempt: Attempt) -> bool:
+        """Return whether the relay of an attempt has not answered anything yet."""
+        call = self._call_by_attempt.get(attempt)
+        return call is not None and not call.is_heard
+
+    def _send(
+        self, attempts: Sequence[Attempt], least: int, flush_after: float
+    ) -> None:
+        """Relay groups of `least` or more to a data centre; send the rest directly."""
+        remote = group_by_place(
+            (
+                (attempt.server.entry.place, attempt)
+                for attempt in attempts
+                if attempt.server.is_remote and self._top >= LEAST_TOP
+            ),
+            least,
+        )
+        relayed: set[Attempt] = set()
+        for place, group in remote.items():
+            relay = self._context.relays.to(place)
+            if relay is not None:
+                relayed.update(group)
+                self._relay(relay, group, flush_after)
+        for attempt in attempts:
+            if attempt not in relayed:
+                attempt.send()
+
+    def _relay(self, relay: Relay, group: list[Attempt], flush_after: float) -> None:
+        sends = [
+            (RelayedSend(a.server.entry.service, a.server.entry.name), a.exchange)
+            for a in group
+        ]
+        left = self._give_up_at - self._context.timers.now()
+        call = relay.submit(self._request, sends, left, flush_after, self._top)
+        self._call_by_attempt.update(dict.fromkeys(group, call))
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -1,9 +1,6 @@
 """Forward: one request to one server of a service, repeated only where it may be."""
 
-import asyncio
-
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
-from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.attempt import (
     HANDSHAKE_SECONDS,
     Attempt,
@@ -12,6 +9,7 @@
     Tries,
 )
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.job import Job
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.refusal import reply_to_failure
 from crocusbay_gateway.protocol import Strike, forwardable
@@ -26,8 +24,8 @@
 HEDGE_SHARE_OF_EXTRAS = 0.6
 
 
-class Forward:
-    """Serve one request; `run` returns the reply."""
+class Forward(Job[Reply]):
+    """Ask one server, and others where the route allows it."""
 
     def __init__(
         self,
@@ -38,22 +36,19 @@
         timing: RouteTiming,
         give_up_at: float,
     ) -> None:
+        super().__init__(context)
         self.retries = 0
         self.hedges = 0
-        self._context = context
         self._request = request
         self._route = route
         self._service = service
         self._timing = timing
         self._give_up_at = give_up_at
         self._sender = Sender(context, request, route, timing, give_up_at)
-        self._now = context.timers.now
         self._open: list[Attempt] = []
         self._tries = Tries()
         self._failure: Verdict | None = None
         self._failed_answer: ServerAnswer | None = None
-        self._done: asyncio.Future[Reply] | None = None
-        self._timers: list[Timer] = []
         self._crashed: set[str] = set()
 
     def facts(self) -> dict[str, object]:
@@ -65,19 +60,6 @@
             "retries": self.retries,
         }
 
-    async def run(self) -> Reply:
-        """Send the request and return the reply."""
-        self._done = asyncio.get_running_loop().create_future()
-        is_finished = False
-        try:
-            self._start()
-            reply = await self._done
-            is_finished = True
-        finally:
-            self._stop(is_urgent=not is_finished)
-        self._judge_crashes(reply)
-        return reply
-
     def _start(self) -> None:
         now = self._now()
         self._context.registry.budget(self._service).note_request(now)
@@ -131,7 +113,7 @@
         if attempt in self._open:
             self._open.remove(attempt)
         self._tries.ended(attempt, may_have_run=not isinstance(verdict, NotRun))
-        if self._done.done():
+        if self._is_done:
             return
         if isinstance(verdict, Ran):
             self._take_answer(attempt, verdict.answer)
@@ -194,10 +176,6 @@
             return
         self._finish(reply_to_failure(verdict, self._give_up_at - self._now()))
 
-    def _finish(self, reply: Reply) -> None:
-        if not self._done.done():
-            self._done.set_result(reply)
-
     def _pass_on(self, answer: ServerAnswer) -> Reply:
         """Return a server's answer; one that would promise too much becomes ours."""
         if answer.status in PROMISE_STATUSES:
@@ -211,21 +189,16 @@
             outcome=outcome,
         )
 
-    def _at(self, when: float, callback) -> None:
-        def run() -> None:
-            if not self._done.done():
-                callback()
-
-        self._timers.append(self._context.timers.at(when, run))
-
     def _stop(self, *, is_urgent: bool) -> None:
-        for timer in self._timers:
-            timer.cancel()
         for attempt in self._open:
             if self._route.is_idempotent or not attempt.exchange.is_sent:
                 attempt.abandon(is_urgent=is_urgent)
         self._open.clear()
 
+    def _reply(self, reply: Reply) -> Reply:
+        self._judge_crashes(reply)
+        return reply
+
     def _judge_crashes(self, reply: Reply) -> None:
         if not self._crashed:
             return
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -1,32 +1,22 @@
 """Gather: one request to every shard of a route, merged into one answer."""
 
-import asyncio
-import math
-from dataclasses import dataclass, field
 from itertools import chain
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
-from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.attempt import (
     Attempt,
     RouteTiming,
     Sender,
-    Tries,
 )
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.dispatch import Dispatch
+from crocusbay_gateway.coordination.job import Job
+from crocusbay_gateway.coordination.leg import Leg
 from crocusbay_gateway.coordination.partial import Decision, PartialPolicy
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.records import greatest_records
 from crocusbay_gateway.coordination.refusal import reply_to_failure
-from crocusbay_gateway.coordination.relay import (
-    LEAST_EXTRAS,
-    LEAST_RELAYED,
-    LEAST_TOP,
-    flush_time,
-    group_by_place,
-)
-from crocusbay_gateway.coordination.relaying import Relay, RelayCall
-from crocusbay_gateway.protocol import RelayedSend, Strike
+from crocusbay_gateway.protocol import Strike
 from crocusbay_gateway.state import CallerRequest, Reply, Route, ServerAnswer, ToShards
 
 # Part of the extras that hedges may take; the rest is for retries of failed parts.
@@ -41,28 +31,8 @@
 RETRY_PAUSE_SECONDS = 0.03
 
 
-@dataclass(slots=True)
-class Leg:
-    """Hold the part of one shard."""
-
-    service: str
-    signature: bytes = b""
-    records: list[bytes] = field(default_factory=list)
-    open: list[Attempt] = field(default_factory=list)
-    tries: Tries = field(default_factory=Tries)
-    has_hedged: bool = False
-    is_held: bool = False
-    is_failed: bool = False
-    failure: Verdict | None = None
-
-    @property
-    def is_pending(self) -> bool:
-        """Return whether a part may still come."""
-        return not self.signature and not self.is_failed
-
-
-class Gather:
-    """Serve one request; `run` returns the reply."""
+class Gather(Job[Decision]):
+    """Ask every shard, and answer with the parts that are in when it is best."""
 
     def __init__(
         self,
@@ -73,23 +43,20 @@
         policy: PartialPolicy,
     ) -> None:
         self.legs = [Leg(service) for service in route.target.services]
+        super().__init__(context)
         self.hedges = 0
         self.retries = 0
-        self._context = context
         self._request = request
         self._route = route
         self._target: ToShards = route.target
         self._timing = timing
         self._policy = policy
         self._sender = Sender(context, request, route, timing, policy.give_up_at)
-        self._now = context.timers.now
+        self._dispatch = Dispatch(context, request, route.target.top, policy.give_up_at)
         self._parts = 0
         self._pending = len(self.legs)
         self._crashed: set[str] = set()
-        self._call_by_attempt: dict[Attempt, RelayCall] = {}
-        self._done: asyncio.Future[Decision] | None = None
-        self._timers: list[Timer] = []
-        self._check_timer: Timer | None = None
+        self._has_check_timer = False
 
     def facts(self) -> dict[str, object]:
         """Return what decided the reply, for the log."""
@@ -97,28 +64,13 @@
         return {
             "parts": self._parts,
             "shards": len(self.legs),
-            "relayed": len(self._call_by_attempt),
+            "relayed": self._dispatch.relayed,
             "hedges": self.hedges,
             "retries": self.retries,
             "late_after_ms": round(self._timing.late_after * 1000, 1),
             "missing": late[:MAX_NAMED],
         }
 
-    async def run(self) -> Reply:
-        """Send to every shard and return the reply when it is good enough."""
-        self._done = asyncio.get_running_loop().create_future()
-        is_finished = False
-        try:
-            self._start()
-            decision = await self._done
-            is_finished = True
-        finally:
-            self._stop(is_urgent=not is_finished)
-        self._judge_crashes()
-        if decision is Decision.ANSWER:
-            return self._answer()
-        return self._failure()
-
     def _start(self) -> None:
         now = self._now()
         for leg in self.legs:
@@ -127,55 +79,16 @@
         for leg, attempt in zip(self.legs, attempts, strict=True):
             if attempt is None:
                 self._fail(leg)
-        timing = self._timing
-        self._dispatch(
-            list(filter(None, attempts)),
-            LEAST_RELAYED,
-            flush_time(timing.usual.value, timing.late_after),
-        )
-        self._at(now + timing.late_after, self._hedge_late)
+        self._dispatch.send_first(list(filter(None, attempts)), self._timing)
+        self._at(now + self._timing.late_after, self._hedge_late)
         self._check()
 
-    def _dispatch(
-        self, attempts: list[Attempt], least: int, flush_after: float
-    ) -> None:
-        """Send to servers here, and through relays to those in other data centres.
-
-        A relay that gets `least` sends or more answers after `flush_after` (seconds).
-        """
-        remote = group_by_place(
-            (
-                (attempt.server.entry.place, attempt)
-                for attempt in attempts
-                if attempt.server.is_remote and self._target.top >= LEAST_TOP
-            ),
-            least,
-        )
-        relayed: set[Attempt] = set()
-        for place, group in remote.items():
-            relay = self._context.relays.to(place)
-            if relay is not None:
-                relayed.update(group)
-                self._relay(relay, group, flush_after)
-        for attempt in attempts:
-            if attempt not in relayed:
-                attempt.send()
-
-    def _relay(self, relay: Relay, group: list[Attempt], flush_after: float) -> None:
-        sends = [
-            (RelayedSend(a.server.entry.service, a.server.entry.name), a.exchange)
-            for a in group
-        ]
-        left = self._policy.give_up_at - self._now()
-        call = relay.submit(self._request, sends, left, flush_after, self._target.top)
-        self._call_by_attempt.update(dict.fromkeys(group, call))
-
     def _send(self, leg: Leg, reason: str) -> bool:
         """Send a part to the best server left; return whether one was there."""
         attempt = self._prepare(leg, reason)
         if attempt is None:
             return False
-        self._dispatch([attempt], LEAST_EXTRAS, 0.0)
+        self._dispatch.send_extras([attempt])
         return True
 
     def _prepare(self, leg: Leg, reason: str) -> Attempt | None:
@@ -203,7 +116,7 @@
             if leg.is_pending and leg.open and not leg.has_hedged
         ]
         hedges = [self._hedge(leg) for leg in late]
-        self._dispatch(list(filter(None, hedges)), LEAST_EXTRAS, 0.0)
+        self._dispatch.send_extras(list(filter(None, hedges)))
         now = self._now()
         again = now + HEDGE_AGAIN_SHARE * self._timing.late_after
         if again < self._policy.answer_by:
@@ -230,8 +143,7 @@
             return None
         leg.has_hedged = True
         self.hedges += 1
-        call = self._call_by_attempt.get(attempt)
-        if call is not None and not call.is_heard:
+        if self._dispatch.is_unheard(attempt):
             # Others of its data centre may be cut off as well.
             hedge.send()
             return None
@@ -242,7 +154,7 @@
         if attempt in leg.open:
             leg.open.remove(attempt)
         leg.tries.ended(attempt, may_have_run=not isinstance(verdict, NotRun))
-        if leg.signature or self._done.done():
+        if leg.signature or self._is_done:
             return
         if isinstance(verdict, Ran) and self._is_part(verdict.answer):
             self._take_part(leg, verdict.answer)
@@ -328,39 +240,30 @@
 
     def _check(self) -> None:
         """Decide on the parts that are in, now or when time alone decides."""
-        if self._done.done():
+        if self._is_done:
             return
         now = self._now()
         decision = self._policy.decide(now, self._parts, self._pending)
         if decision is not Decision.WAIT:
-            self._done.set_result(decision)
-            return
-        if self._check_timer is None:
-            self._set_check_timer(now)
-
-    def _set_check_timer(self, now: float) -> None:
-        def check() -> None:
-            self._check_timer = None
-            self._check()
-
-        when = self._policy.next_check(now, self._parts)
-        self._check_timer = self._context.timers.at(when, check)
+            self._finish(decision)
+        elif not self._has_check_timer:
+            self._has_check_timer = True
+            self._at(self._policy.next_check(now, self._parts), self._check_in_time)
 
-    def _at(self, when: float, callback) -> None:
-        def run() -> None:
-            if not self._done.done():
-                callback()
-
-        self._timers.append(self._context.timers.at(when, run))
+    def _check_in_time(self) -> None:
+        self._has_check_timer = False
+        self._check()
 
     def _stop(self, *, is_urgent: bool) -> None:
-        for timer in (*self._timers, *filter(None, (self._check_timer,))):
-            timer.cancel()
         for leg in self.legs:
             for attempt in leg.open:
                 attempt.abandon(is_urgent=is_urgent)
             leg.open.clear()
 
+    def _reply(self, decision: Decision) -> Reply:
+        self._judge_crashes()
+        return self._answer() if decision is Decision.ANSWER else self._failure()
+
     def _judge_crashes(self) -> None:
         """Strike a request that lost servers and was answered by none."""
         if not self._crashed:
@@ -406,12 +309,3 @@
         if refused:
             return reply_to_failure(refused[0], left)
         return reply_to_failure(NotRun(Cause.NO_UPSTREAM), left)
-
-
-def least_parts(target: ToShards) -> int:
-    """Return how many parts a success needs.
-
-    >>> least_parts(ToShards(("a", "b", "c", "d"), 5, 0.75))
-    3
-    """
-    return max(1, math.ceil(target.least_share * len(target.services) - 1e-9))
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/leg.py
@@ -0,0 +1,26 @@
+"""Leg: what one gather knows of the part of one shard."""
+
+from dataclasses import dataclass, field
+
+from crocusbay.state import Verdict
+from crocusbay_gateway.coordination.attempt import Attempt, Tries
+
+
+@dataclass(slots=True)
+class Leg:
+    """Hold the part of one shard."""
+
+    service: str
+    signature: bytes = b""
+    records: list[bytes] = field(default_factory=list)
+    open: list[Attempt] = field(default_factory=list)
+    tries: Tries = field(default_factory=Tries)
+    has_hedged: bool = False
+    is_held: bool = False
+    is_failed: bool = False
+    failure: Verdict | None = None
+
+    @property
+    def is_pending(self) -> bool:
+        """Return whether a part may still come."""
+        return not self.signature and not self.is_failed
--- a/packages/gateway/crocusbay_gateway/coordination/partial.py
+++ b/packages/gateway/crocusbay_gateway/coordination/partial.py
@@ -5,9 +5,12 @@
 share, a whole one after it almost nothing.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from crocusbay_gateway.state import ToShards
+
 # From a reply's writing to its arrival: the way back, and the way here that had passed
 # before the request was read.
 WAY_SECONDS = 0.02
@@ -46,3 +49,12 @@
         if parts >= self.least_parts or now < self.answer_by:
             return min(max(self.answer_by, now), self.give_up_at)
         return self.give_up_at
+
+
+def least_parts(target: ToShards) -> int:
+    """Return how many parts a success needs.
+
+    >>> least_parts(ToShards(("a", "b", "c", "d"), 5, 0.75))
+    3
+    """
+    return max(1, math.ceil(target.least_share * len(target.services) - 1e-9))
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -8,8 +8,12 @@
 from crocusbay_gateway.coordination.attempt import RouteTiming
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.forward import Forward
-from crocusbay_gateway.coordination.gather import Gather, least_parts
-from crocusbay_gateway.coordination.partial import WAY_SECONDS, PartialPolicy
+from crocusbay_gateway.coordination.gather import Gather
+from crocusbay_gateway.coordination.partial import (
+    WAY_SECONDS,
+    PartialPolicy,
+    least_parts,
+)
 from crocusbay_gateway.coordination.quarantine import fingerprint
 from crocusbay_gateway.coordination.refusal import refuse
 from crocusbay_gateway.coordination.relayed import RelayedGathers
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
@@ -8,8 +8,8 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun
 from crocusbay_gateway.coordination.attempt import RouteTiming
-from crocusbay_gateway.coordination.gather import Gather, least_parts
-from crocusbay_gateway.coordination.partial import PartialPolicy
+from crocusbay_gateway.coordination.gather import Gather
+from crocusbay_gateway.coordination.partial import PartialPolicy, least_parts
 from crocusbay_gateway.coordination.relay import (
     RELAYS_PER_PLACE,
     choose_relays,
