--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -35,6 +35,10 @@
 class Store(Protocol):
     """Read and watch the store; each method raises StoreUnavailableError."""
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether a call waits for longer than the store usually takes."""
+
     async def read_configuration(self) -> ConfigurationChange:
         """Return the configuration in force."""
 
--- a/packages/gateway/crocusbay_gateway/coordination/watching.py
+++ b/packages/gateway/crocusbay_gateway/coordination/watching.py
@@ -79,6 +79,8 @@
     @property
     def reaches_store(self) -> bool:
         """Return whether the store answers this host, as far as it knows."""
+        if self._store.is_unanswered:
+            return False
         return not self._is_lost or self._is_forgiven()
 
     def _is_forgiven(self) -> bool:
