Keep what a view has seen while entries are held for their return

Cause: after an outage with lapsed entries, a host holds them for 2.2 s.

Change: `confirm` leaves `seen` alone while entries are held; what a peer says of an entry ends its holding. The stand-in's store writes an entry only when it changes, as the real one, which hides less. A test of views failed before.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -91,3 +91,29 @@
     # A view that lacks this one's newest change says nothing of it.
     second.confirm(revision=2, seen=3, fresh_at=60.0)
     assert second.age(61.0) == pytest.approx(11.5)
+
+
+def test_word_of_a_peer_hides_no_return_of_an_entry_that_lapsed():
+    """Replays two hosts that poll in turn once the store is back."""
+    view = ServersView()
+    view.update([entry()], 1, 100.0)
+    view.update([gone(revision=3)], 3, 110.0)
+    # The peer has seen the entry return unchanged, so its view has no newer change.
+    view.confirm(revision=1, seen=9, fresh_at=111.0)
+    assert view.seen == 3
+    assert view.age(111.0) == 0.0
+    view.update([entry(revision=4)], 10, 113.0)
+    view.update([], 11, 116.0)
+    assert view.by_name["x"].is_usable
+    view.confirm(revision=1, seen=12, fresh_at=117.0)
+    assert view.seen == 12
+
+
+def test_word_of_a_peer_that_an_entry_is_gone_counts():
+    view = ServersView()
+    view.update([entry()], 1, 100.0)
+    view.update([gone(revision=3)], 3, 110.0)
+    view.merge([gone(revision=9)], 9, 9, 113.0)
+    assert view.by_name["x"].is_gone
+    view.confirm(revision=9, seen=10, fresh_at=114.0)
+    assert view.seen == 10
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -131,11 +131,16 @@
         self.confirm(revision, seen, fresh_at)
 
     def confirm(self, revision: int, seen: int, fresh_at: float) -> None:
-        """Take that another host's view of this revision was complete at a moment."""
+        """Take that another host's view of this revision was complete at a moment.
+
+        What this view has seen stays as it is while entries are held for their return:
+        the other host may have seen them return, which is no change there.
+        """
         if seen >= self.revision:
             self.revision = max(self.revision, revision)
-            self.seen = max(self.seen, seen)
             self.fresh_at = max(self.fresh_at, fresh_at)
+            if not self._missing_since_by_name:
+                self.seen = max(self.seen, seen)
 
     def changed_after(self, revision: int) -> tuple[ServerEntry, ...]:
         """Return the entries that changed after a revision."""
@@ -156,6 +161,7 @@
             return
         for entry in changed:
             self.by_name[entry.name] = entry
+            self._missing_since_by_name.pop(entry.name, None)
             self.revision = max(self.revision, entry.revision)
             if entry.is_gone:
                 self._gone_at_by_name[entry.name] = now
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -52,6 +52,7 @@
         self.answer_seconds = 0.0
         self.lost_share = 0.0
         self._by_kind: dict[str, dict[str, StoredObject]] = {}
+        self._entry_by_name: dict[str, ServerEntry] = {}
         self._history: list[tuple[int, str, Event]] = []
         self._forgotten = 0
         self._changed = asyncio.Event()
@@ -72,8 +73,11 @@
         self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, spec)
 
     def put_server(self, entry: ServerEntry, seq: int) -> None:
-        """Write a server's entry, unless the store is away."""
-        if self.outage is Outage.NONE:
+        """Write a server's entry, unless the store is away or holds it already."""
+        held = self._by_kind.get(SERVERS_KIND, {}).get(entry.name)
+        is_held = held is not None and self._entry_by_name.get(entry.name) == entry
+        if self.outage is Outage.NONE and not is_held:
+            self._entry_by_name[entry.name] = entry
             spec = msgspec.Raw(encode_entry(entry, seq))
             self._put(SERVERS_KIND, entry.name, spec)
 
