Log who knows which crashes of a request, since when and from whom

Cause: a crash that was recorded, cleared, reported or not counted left no line, and no line joined a request's id to its fingerprint, so the three hypotheses could not be told apart. Change: server-crashed, quarantined (also for the host's own count), crashes-cleared and quarantine-refusal, each with the fingerprint; crashed in the request's line; counters by source. The logic is unchanged. Before: one line, at hosts told by others only.

--- a/packages/gateway/crocusbay_gateway/coordination/context.py
+++ b/packages/gateway/crocusbay_gateway/coordination/context.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
 from crocusbay_gateway.log import EventLog
@@ -18,7 +18,7 @@
     conventions: HttpConventions
     timers: TimerService
     registry: Registry
-    quarantine: Quarantine
+    crash_monitor: CrashMonitor
     log: EventLog
     metrics: GatewayMetrics
     relays: RelayClients
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -9,6 +9,7 @@
     RouteLatency,
 )
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import SOURCE_OWN
 from crocusbay_gateway.coordination.quarantine import request_fingerprint
 from crocusbay_gateway.coordination.refusal import reply_to_failure
 from crocusbay_gateway.coordination.request_handler import RequestHandler
@@ -63,6 +64,7 @@
             "sends": self._history.attempt_count,
             "hedges": self.hedges,
             "retries": self.retries,
+            "crashed": sorted(self._crashed_servers),
         }
 
     def _start(self) -> None:
@@ -223,9 +225,9 @@
             return
         fingerprint = request_fingerprint(self._request)
         if reply.status < 500:
-            self._context.quarantine.clear(fingerprint)
+            self._context.crash_monitor.clear(fingerprint, self._request.attempt_id)
             return
         for server in self._crashed_servers:
-            self._context.quarantine.record_crash(
-                CrashReport(fingerprint, server), self._now()
+            self._context.crash_monitor.record_crash(
+                CrashReport(fingerprint, server), SOURCE_OWN, self._request.attempt_id
             )
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -9,6 +9,7 @@
     RouteLatency,
 )
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import SOURCE_OWN
 from crocusbay_gateway.coordination.dispatch import AttemptDispatcher
 from crocusbay_gateway.coordination.partial import Decision, PartialAnswerPolicy
 from crocusbay_gateway.coordination.quarantine import request_fingerprint
@@ -80,6 +81,7 @@
             "retries": self.retries,
             "late_after_ms": round(self._latency.hedge_delay * 1000, 1),
             "missing": missing[:MAX_LOGGED_MISSING_SHARDS],
+            "crashed": sorted(self._crashed_servers),
         }
 
     def _start(self) -> None:
@@ -306,11 +308,11 @@
             return
         fingerprint = request_fingerprint(self._request)
         if self._received_count:
-            self._context.quarantine.clear(fingerprint)
+            self._context.crash_monitor.clear(fingerprint, self._request.attempt_id)
             return
         for server in self._crashed_servers:
-            self._context.quarantine.record_crash(
-                CrashReport(fingerprint, server), self._now()
+            self._context.crash_monitor.record_crash(
+                CrashReport(fingerprint, server), SOURCE_OWN, self._request.attempt_id
             )
 
     def _merged_reply(self) -> Reply:
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -4,8 +4,8 @@
 
 from crocusbay.state import split_address
 from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
-from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.relay_server import RelayServer
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
@@ -36,7 +36,7 @@
         membership: Membership,
         configuration: ConfigurationView,
         servers: ServersView,
-        quarantine: Quarantine,
+        crash_monitor: CrashMonitor,
         build_status: Callable[[int, str], HostStatus],
         on_host_joined: Callable[[], None],
         relay_server: RelayServer,
@@ -49,7 +49,7 @@
         self._membership = membership
         self._configuration = configuration
         self._servers = servers
-        self._quarantine = quarantine
+        self._crash_monitor = crash_monitor
         self._build_status = build_status
         self._on_host_joined = on_host_joined
         self._log = log
@@ -93,7 +93,7 @@
         heartbeat = Heartbeat(
             self._build_status(self._heartbeat_number, self.address),
             self._membership.sample_contacts() if includes_contacts else (),
-            self._quarantine.recent_crashes(self._timers.now()),
+            self._crash_monitor.quarantine.recent_crashes(self._timers.now()),
             self._membership.host_counts_by_data_centre if includes_contacts else {},
         )
         self._endpoint.send_heartbeat(heartbeat, addresses)
@@ -124,8 +124,7 @@
             status.data_centre, heartbeat.host_counts_by_data_centre
         )
         for report in heartbeat.crash_reports:
-            if self._quarantine.record_crash(report, now):
-                self._log.warning("quarantined", fingerprint=report.fingerprint)
+            self._crash_monitor.record_crash(report, SOURCE_PEER)
         self._compare_views(status, now)
 
     def _compare_views(self, status: HostStatus, now: float) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -64,6 +64,16 @@
             return False
         return len(crashes.servers) >= CRASHES_TO_QUARANTINE
 
+    def knows(self, report: CrashReport) -> bool:
+        """Return whether a crash has already been recorded."""
+        crashes = self._by_fingerprint.get(report.fingerprint)
+        return crashes is not None and report.server in crashes.servers
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return the number of servers that a request is known to have crashed."""
+        crashes = self._by_fingerprint.get(fingerprint)
+        return 0 if crashes is None else len(crashes.servers)
+
     def clear(self, fingerprint: str) -> None:
         """Delete the crashes of a request that a server has responded to."""
         self._by_fingerprint.pop(fingerprint, None)
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -103,7 +103,14 @@
         ):
             return route, make_refusal(Cause.OVERLOAD, self._remaining_time(request))
         now = self._context.timers.now()
-        if self._context.quarantine.is_quarantined(request_fingerprint(request), now):
+        quarantine = self._context.crash_monitor.quarantine
+        fingerprint = request_fingerprint(request)
+        if quarantine.is_quarantined(fingerprint, now):
+            self._context.log.warning(
+                "quarantine-refusal",
+                request=request.attempt_id,
+                fingerprint=fingerprint,
+            )
             return route, make_refusal(Cause.QUARANTINED)
         return route, None
 
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -10,6 +10,7 @@
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.attempt import RouteLatency
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
@@ -156,13 +157,14 @@
         log = EventLog("test", write_fd, self.timers.now)
         # Without other members, nothing is relayed unless a test replaces the relays.
         membership = Membership("host-0", data_centre, 1)
+        metrics = GatewayMetrics()
         self.context = Context(
             HTTP_CONVENTIONS,
             self.timers,
             self.registry,
-            Quarantine(),
+            CrashMonitor(Quarantine(), log, metrics, self.timers),
             log,
-            GatewayMetrics(),
+            metrics,
             RelayClients(membership, self.timers, log, None),
         )
         services = tuple(Service(name, 50) for name in servers_by_service)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_gather.py
@@ -137,7 +137,7 @@
     assert reply.status == 502
     assert sum(gateway.received_counts().values()) == len(SHARDS)
     request = make_request(gateway)
-    assert gateway.context.quarantine.is_quarantined(
+    assert gateway.context.crash_monitor.quarantine.is_quarantined(
         request_fingerprint(request), gateway.timers.now()
     )
 
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -7,6 +7,7 @@
 
 from crocusbay.state import Cause, split_address
 from crocusbay.transport.timers import TimerService
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.peering import Peering
 from crocusbay_gateway.coordination.quarantine import (
@@ -17,6 +18,7 @@
 from crocusbay_gateway.coordination.store import StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
+from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import CrashReport, KnownHost
 from crocusbay_gateway.state import Configuration, HostStatus, ServerEntry
 
@@ -36,15 +38,16 @@
         self.membership = Membership(name, "a", 1)
         self.quarantine = Quarantine()
         _, write_end = os.pipe()
+        log = EventLog(name, write_end)
         self.peering = Peering(
             self.membership,
             self.configuration,
             self.servers,
-            self.quarantine,
+            CrashMonitor(self.quarantine, log, GatewayMetrics(), timers),
             self.build_status,
             lambda: None,
             RelayServer(None, lambda query: Cause.OVERLOAD),
-            EventLog(name, write_end),
+            log,
             timers,
             spawn,
         )
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -7,6 +7,7 @@
 
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.entry import (
     EntryCandidate,
     choose_entry_hosts,
@@ -140,12 +141,14 @@
             self.timers,
             tasks.start_soon,
         )
-        self.quarantine = Quarantine()
+        self.crash_monitor = CrashMonitor(
+            Quarantine(), self.log, self.metrics, self.timers
+        )
         context = Context(
             self._conventions,
             self.timers,
             self.registry,
-            self.quarantine,
+            self.crash_monitor,
             self.log,
             self.metrics,
             RelayClients(self.membership, self.timers, self.log, tasks.start_soon),
@@ -177,7 +180,7 @@
             self.membership,
             self.configuration,
             self.servers,
-            self.quarantine,
+            self.crash_monitor,
             self._build_status,
             self._update_limit_shares,
             self.request_service.relay_server,
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -104,6 +104,16 @@
         self.attempt_failures = LabelledValue(
             "crocusbay_gateway_attempt_failures", "Failed attempts", "cause"
         )
+        self.server_crashes = LabelledValue(
+            "crocusbay_gateway_server_crashes",
+            "Server crashes attributed to a request, by who observed them",
+            "source",
+        )
+        self.quarantines = LabelledValue(
+            "crocusbay_gateway_quarantines",
+            "Requests quarantined, by who observed the last crash",
+            "source",
+        )
         self.store_calls = LabelledValue(
             "crocusbay_gateway_store_calls", "Calls to the store", "call", "result"
         )
@@ -136,6 +146,8 @@
         for metric, family_class in (
             (self.attempts, CounterMetricFamily),
             (self.attempt_failures, CounterMetricFamily),
+            (self.server_crashes, CounterMetricFamily),
+            (self.quarantines, CounterMetricFamily),
             (self.store_calls, CounterMetricFamily),
             (self.members, GaugeMetricFamily),
             (self.view_age, GaugeMetricFamily),
