Reproduce the crashing request that is sent again, in the emulator

What callers see: servers end under a request that is known to crash them, long after the third. Cause: not mended yet. Conclusion: one class, knowledge that must last is held as a short message.

--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -27,6 +27,8 @@
     FETCH = "fetch"
     ORDER = "order"
     PROBE = "probe"
+    # Its target is the same in every copy, and each server that runs it crashes.
+    CRASHING = "crashing"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,19 +87,25 @@
             for _, writer in self._stream_by_address.values():
                 writer.close()
 
-    async def send_request(self, address: str, kind: RequestKind) -> Outcome | None:
-        """Send one request; return its result, or None if connecting failed."""
+    async def send_request(
+        self, address: str, kind: RequestKind, target: str = ""
+    ) -> Outcome | None:
+        """Send one request; return its result, or None if connecting failed.
+
+        By default the target is the path of the kind and the attempt id.
+        """
         loop = asyncio.get_running_loop()
         stream = await self._connect(address)
         if stream is None:
             return None
         self._count += 1
         attempt_id = f"{self._name}-{self._count}"
+        target = target or f"{self._paths[kind]}{attempt_id}"
         sent_at = loop.time()
         status, headers, body = 0, {}, b""
         try:
             async with asyncio.timeout(DEADLINE_SECONDS):
-                stream[1].write(self._encode(kind, attempt_id))
+                stream[1].write(self._encode(kind, target, attempt_id))
                 _, code, headers, body = await read_message(stream[0])
                 status = int(code)
         except TimeoutError:
@@ -116,15 +124,15 @@
             status,
             headers,
             body,
-            self._paths[kind],
+            target,
         )
         self._outcomes.append(outcome)
         return outcome
 
-    def _encode(self, kind: RequestKind, attempt_id: str) -> bytes:
+    def _encode(self, kind: RequestKind, target: str, attempt_id: str) -> bytes:
         method = "POST" if kind is RequestKind.ORDER else "GET"
         head = (
-            f"{method} {self._paths[kind]}{attempt_id} HTTP/1.1\r\n"
+            f"{method} {target} HTTP/1.1\r\n"
             "Host: soak.example\r\n"
             f"{HTTP_CONVENTIONS.attempt_id.decode()}: {attempt_id}\r\n"
             f"{HTTP_CONVENTIONS.deadline_ms.decode()}: "
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -16,6 +16,9 @@
 QUEUE_LIMIT = 12
 RECORDS_PER_SHARD = 8
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+# A request whose target contains this crashes each server that begins to run it.
+CRASH_MARK = "crash"
+RESTART_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,8 @@
     is_up: bool = False
     # Maximum over all starts so far; updated by `crash`.
     peak_connections: int = 0
+    # Whether a server that a request has crashed restarts under a new name.
+    is_renamed_on_restart: bool = False
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port and register; port 0 lets the system choose one."""
@@ -141,8 +146,8 @@
         self._writers.add(writer)
         try:
             while True:
-                _, _, headers, _ = await read_message(reader)
-                if not await self._handle_request(headers, writer):
+                _, target, headers, _ = await read_message(reader)
+                if not await self._handle_request(target, headers, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -151,7 +156,7 @@
             writer.close()
 
     async def _handle_request(
-        self, headers: dict[bytes, bytes], writer: asyncio.StreamWriter
+        self, target: str, headers: dict[bytes, bytes], writer: asyncio.StreamWriter
     ) -> bool:
         """Respond to a request; return whether to keep the connection open."""
         attempt_id = headers[HTTP_CONVENTIONS.attempt_id.lower()].decode()
@@ -170,8 +175,27 @@
                 await self._not_paused.wait()
         finally:
             self._pending_requests -= 1
+        if self._is_crashed_by(target):
+            if self.is_up:
+                self.crash()
+                self._restart_task = asyncio.ensure_future(self._restart())
+            return False
         return self._write_response(attempt_id, writer)
 
+    def _is_crashed_by(self, target: str) -> bool:
+        """Return whether a target crashes this server: "crash", or "crash@SERVICE"."""
+        _, mark, rest = target.partition(CRASH_MARK)
+        return bool(mark) and rest.partition("@")[2] in ("", self.service)
+
+    async def _restart(self) -> None:
+        if self.is_renamed_on_restart:
+            self.deregister()
+        await asyncio.sleep(RESTART_SECONDS)
+        if self.is_renamed_on_restart:
+            name, _, count = self.name.partition("-")
+            self.name = f"{name}-{int(count or 0) + 1}"
+        await self.start()
+
     def _make_refusal(self, headers: dict[bytes, bytes]) -> Reply | None:
         not_run = ((HTTP_CONVENTIONS.not_run, b"1"),)
         if headers[HTTP_CONVENTIONS.expected_server.lower()] != self.name.encode():
