Count crashes by server process, and report them while they matter

What callers saw: servers ended under a request known to crash them. Causes, all of how crashes are known: counted once per server name, so a restart under the old name was no second crash; counted only when the caller waited for the reply; cleared for a gather by any shard's part; a reset taken for a crash although the server ran on; reports sent for 3 s only, those of the newest request first and eight at the most. Change: a crash is that of a server's start, counted when it is seen. A reset counts once nothing listens at the address; silence counts once the server's entry ends. A request is quarantined for a service after three crashes there, and for all after three while no server responded to the copy. Reports carry their age; a quarantined request is reported for as long as it is quarantined. Each attempt looks it up, at relays too. Kept for 600 s, not 120. Ruled out: confirming silence by a connection attempt; a cut link looks the same, and would quarantine harmless requests everywhere.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -5,6 +5,7 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import RequestCrashes
 from crocusbay_gateway.coordination.quantile import QuantileEstimate
 from crocusbay_gateway.coordination.registry import Registry, Server
 from crocusbay_gateway.protocol import encode_server_request
@@ -117,6 +118,7 @@
         "exchange",
         "is_extra",
         "_context",
+        "_crashes",
         "_latency",
         "_on_verdict",
         "_started_at",
@@ -131,12 +133,14 @@
         latency: RouteLatency,
         give_up_at: float,
         on_verdict: Callable[["Attempt", Verdict], None],
+        crashes: RequestCrashes,
         *,
         is_extra: bool,
     ) -> None:
         self.server = server
         self.is_extra = is_extra
         self._context = context
+        self._crashes = crashes
         self._latency = latency
         self._on_verdict = on_verdict
         now = context.timers.now()
@@ -212,6 +216,7 @@
         """Cancel an abandoned attempt that has no response after its grace period."""
         if self.exchange.is_done:
             return
+        self._observe_crash(MayHaveRun(Cause.SILENT))
         now = self._context.timers.now()
         self.server.health.record_result(
             MayHaveRun(Cause.SILENT), 0.0, self._latency.median.value, now
@@ -229,20 +234,17 @@
             channel.close()
 
     def _finish(self, exchange: Exchange, verdict: Verdict) -> None:
-        self.server.health.record_finished(exchange)
         verdict = self._detect_not_run(verdict)
-        now = self._context.timers.now()
-        elapsed = exchange.elapsed(now)
-        self.server.health.record_result(
-            verdict, elapsed, self._latency.median.value, now
-        )
-        if not self.is_extra and isinstance(verdict, Ran):
-            self._latency.add_sample(elapsed)
+        self._record_verdict(exchange, verdict)
         self._on_verdict(self, verdict)
 
     def _finish_abandoned(self, exchange: Exchange, verdict: Verdict) -> None:
+        self._record_verdict(exchange, self._detect_not_run(verdict))
+
+    def _record_verdict(self, exchange: Exchange, verdict: Verdict) -> None:
+        """Update the health of the server and the latency of the route."""
         self.server.health.record_finished(exchange)
-        verdict = self._detect_not_run(verdict)
+        self._observe_crash(verdict)
         now = self._context.timers.now()
         elapsed = exchange.elapsed(now)
         self.server.health.record_result(
@@ -251,6 +253,19 @@
         if not self.is_extra and isinstance(verdict, Ran):
             self._latency.add_sample(elapsed)
 
+    def _observe_crash(self, verdict: Verdict) -> None:
+        """Record whether the server crashed under the request or ran it to its end.
+
+        A connection may also be reset, or remain silent, while the server runs on.
+        """
+        match verdict:
+            case Ran(response) if response.is_success and response.signature:
+                self._crashes.record_response(self.server.entry.service)
+            case MayHaveRun(Cause.RESET):
+                self._crashes.suspect_reset(self.server)
+            case MayHaveRun(Cause.SILENT):
+                self._crashes.suspect_silence(self.server)
+
     def _detect_not_run(self, verdict: Verdict) -> Verdict:
         """Return the verdict, or `NotRun` if the response states that nothing ran."""
         if not isinstance(verdict, Ran):
@@ -274,6 +289,7 @@
     route: Route
     latency: RouteLatency
     give_up_at: float
+    crashes: RequestCrashes
 
     def create_attempt(
         self,
@@ -288,6 +304,8 @@
         Once a server has received the request, each further attempt consumes the retry
         budget, and None is also returned if `budget_share` of it is used up.
         """
+        if self.crashes.is_quarantined(service):
+            return None
         registry = self.context.registry
         server = history.choose_server(registry, service, self.route.max_attempts)
         if server is None:
@@ -306,6 +324,7 @@
             self.latency,
             self.give_up_at,
             on_verdict,
+            self.crashes,
             is_extra=reason != "first",
         )
 
--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -1,14 +1,26 @@
-"""Log and count what this host learns about requests that crash servers."""
+"""Observation of requests that crash servers: what counts, what is logged."""
+
+from collections.abc import Callable
+from dataclasses import replace
 
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.quarantine import (
+    ALL_SERVICES,
+    Crash,
+    Quarantine,
+    request_fingerprint,
+)
+from crocusbay_gateway.coordination.registry import Server
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import CrashReport
+from crocusbay_gateway.state import CallerRequest, ServerEntry
+from crocusbay_gateway.transport import Listening
 
 # Sources of a crash report, in logs and metrics.
 SOURCE_OWN = "own"
 SOURCE_PEER = "peer"
+SOURCE_STORE = "store"
 
 
 class CrashMonitor:
@@ -22,40 +34,165 @@
         timers: TimerService,
     ) -> None:
         self.quarantine = quarantine
+        self.now: Callable[[], float] = timers.now
+        # Quarantined requests of which this host observed a crash, until `pop_unsaved`.
+        self._unsaved: set[str] = set()
+        self._observed: set[str] = set()
         self._log = log
         self._metrics = metrics
-        self._timers = timers
+
+    def track(self, request: CallerRequest) -> "RequestCrashes":
+        """Return the tracker of one copy of a request."""
+        return RequestCrashes(self, request_fingerprint(request), request.attempt_id)
 
     def record_crash(
-        self, report: CrashReport, source: str, request_id: str = ""
+        self, fingerprint: str, crash: Crash, source: str, request_id: str = ""
     ) -> None:
         """Record a crash that this host observed or that another host reported."""
-        now = self._timers.now()
-        was_known = self.quarantine.knows(report)
-        is_newly_quarantined = self.quarantine.record_crash(report, now)
-        if was_known:
-            return
-        self._metrics.server_crashes.inc(source)
+        quarantine = self.quarantine
+        is_known = crash.key in quarantine.crashes(fingerprint)
+        is_quarantined_further = quarantine.record_crash(fingerprint, crash, self.now())
+        crashes = quarantine.crashes(fingerprint)
         fields = {
-            "fingerprint": report.fingerprint,
+            "fingerprint": fingerprint,
             "source": source,
             "request": request_id,
-            "crashes": self.quarantine.crash_count(report.fingerprint),
+            "crashes": len(crashes),
         }
-        self._log.warning("server-crashed", server=report.server, **fields)
-        if is_newly_quarantined:
+        if crash.key in crashes and not is_known:
+            self._metrics.server_crashes.inc(source)
+            self._log.warning(
+                "server-crashed", service=crash.service, server=crash.server, **fields
+            )
+        if source == SOURCE_OWN:
+            self._observed.add(fingerprint)
+        if is_quarantined_further:
             self._metrics.quarantines.inc(source)
             self._log.warning("quarantined", **fields)
+            if fingerprint in self._observed:
+                self._unsaved.add(fingerprint)
+
+    def record_reports(self, reports: tuple[CrashReport, ...], source: str) -> None:
+        """Record the crashes that another host reported or that the store holds."""
+        now = self.now()
+        for report in reports:
+            crash = Crash(
+                report.service,
+                report.server,
+                report.server_started_at,
+                now - report.age,
+                report.is_unanswered,
+            )
+            self.record_crash(report.fingerprint, crash, source)
+
+    def record_response(self, fingerprint: str, service: str, request_id: str) -> None:
+        """Record that a server ran a request to its end."""
+        crash_count = self.quarantine.record_response(fingerprint, service, self.now())
+        if crash_count:
+            self._log.warning(
+                "crashes-cleared",
+                fingerprint=fingerprint,
+                service=service,
+                request=request_id,
+                crashes=crash_count,
+            )
+
+    def pop_unsaved(self) -> list[str]:
+        """Return the quarantined requests to save, which then count as saved."""
+        unsaved, self._unsaved = self._unsaved, set()
+        return sorted(unsaved)
+
+    def pop_expired(self) -> list[str]:
+        """Delete the records whose retention has ended; return their fingerprints."""
+        expired = self.quarantine.pop_expired(self.now())
+        self._observed.difference_update(expired)
+        self._unsaved.difference_update(expired)
+        return expired
+
+
+class RequestCrashes:
+    """Track the crashes and responses during one copy of a request."""
+
+    __slots__ = (
+        "fingerprint",
+        "has_response",
+        "_monitor",
+        "_request_id",
+        "_crashes",
+        "_has_ended",
+    )
+
+    def __init__(
+        self, monitor: CrashMonitor, fingerprint: str, request_id: str
+    ) -> None:
+        self.fingerprint = fingerprint
+        self.has_response = False
+        self._monitor = monitor
+        self._request_id = request_id
+        self._crashes: list[Crash] = []
+        self._has_ended = False
 
-    def clear(self, fingerprint: str, request_id: str) -> None:
-        """Delete the crashes of a request that a server has responded to."""
-        crash_count = self.quarantine.crash_count(fingerprint)
-        if not crash_count:
+    @property
+    def servers(self) -> list[str]:
+        """Return the names of the servers that crashed."""
+        return sorted(crash.server for crash in self._crashes)
+
+    def is_quarantined(self, service: str = ALL_SERVICES) -> bool:
+        """Return whether the request is quarantined for a service or for all."""
+        monitor = self._monitor
+        return monitor.quarantine.is_quarantined(
+            self.fingerprint, monitor.now(), service
+        )
+
+    def suspect_reset(self, server: Server) -> None:
+        """Record a crash if nothing listens at the server's address any more.
+
+        A connection may also be reset while the server runs on.
+        """
+        if not server.is_in_use:
             return
-        self.quarantine.clear(fingerprint)
-        self._log.warning(
-            "crashes-cleared",
-            fingerprint=fingerprint,
-            request=request_id,
-            crashes=crash_count,
+        crash = self._make_crash(server.entry)
+
+        def handle_check(listening: Listening) -> None:
+            if listening is Listening.REFUSED:
+                self._record_crash(crash)
+            elif listening is Listening.UNKNOWN:
+                server.on_end(lambda: self._record_crash(crash), self._monitor.now())
+
+        server.pool.check_listening(handle_check)
+
+    def suspect_silence(self, server: Server) -> None:
+        """Record a crash if the server's entry shows soon that it has ended.
+
+        The link to the server may also be interrupted.
+        """
+        if server.is_in_use:
+            crash = self._make_crash(server.entry)
+            server.on_end(lambda: self._record_crash(crash), self._monitor.now())
+
+    def record_response(self, service: str) -> None:
+        """Record that a server of the service ran the request to its end."""
+        self.has_response = True
+        self._monitor.record_response(self.fingerprint, service, self._request_id)
+
+    def end(self) -> None:
+        """Count the crashes against the request as a whole if no server responded."""
+        self._has_ended = True
+        for crash in self._crashes:
+            self._record(crash)
+
+    def _make_crash(self, entry: ServerEntry) -> Crash:
+        return Crash(entry.service, entry.name, entry.started_at, self._monitor.now())
+
+    def _record_crash(self, crash: Crash) -> None:
+        self._crashes.append(crash)
+        self._record(crash)
+
+    def _record(self, crash: Crash) -> None:
+        is_unanswered = self._has_ended and not self.has_response
+        self._monitor.record_crash(
+            self.fingerprint,
+            replace(crash, is_unanswered=is_unanswered),
+            SOURCE_OWN,
+            self._request_id,
         )
--- a/packages/gateway/crocusbay_gateway/coordination/dispatch.py
+++ b/packages/gateway/crocusbay_gateway/coordination/dispatch.py
@@ -21,12 +21,18 @@
     """Send attempts directly, or through a relay in the server's data centre."""
 
     def __init__(
-        self, context: Context, request: CallerRequest, top_k: int, give_up_at: float
+        self,
+        context: Context,
+        request: CallerRequest,
+        top_k: int,
+        give_up_at: float,
+        fingerprint: str,
     ) -> None:
         self._context = context
         self._request = request
         self._top_k = top_k
         self._give_up_at = give_up_at
+        self._fingerprint = fingerprint
         self._call_by_attempt: dict[Attempt, RelayCall] = {}
 
     @property
@@ -82,6 +88,11 @@
         ]
         remaining_time = self._give_up_at - self._context.timers.now()
         call = relay.send_query(
-            self._request, sub_requests, remaining_time, flush_after, self._top_k
+            self._request,
+            sub_requests,
+            remaining_time,
+            flush_after,
+            self._top_k,
+            self._fingerprint,
         )
         self._call_by_attempt.update(dict.fromkeys(group, call))
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -9,15 +9,12 @@
     RouteLatency,
 )
 from crocusbay_gateway.coordination.context import Context
-from crocusbay_gateway.coordination.crash_monitor import SOURCE_OWN
 from crocusbay_gateway.coordination.dispatch import AttemptDispatcher
 from crocusbay_gateway.coordination.partial import Decision, PartialAnswerPolicy
-from crocusbay_gateway.coordination.quarantine import request_fingerprint
 from crocusbay_gateway.coordination.records import greatest_records
 from crocusbay_gateway.coordination.refusal import reply_to_failure
 from crocusbay_gateway.coordination.request_handler import RequestHandler
 from crocusbay_gateway.coordination.sub_request import SubRequestState
-from crocusbay_gateway.protocol import CrashReport
 from crocusbay_gateway.state import (
     CallerRequest,
     Reply,
@@ -51,7 +48,7 @@
         self.sub_requests = [
             SubRequestState(service) for service in route.target.services
         ]
-        super().__init__(context)
+        super().__init__(context, request)
         self.hedges = 0
         self.retries = 0
         self._request = request
@@ -60,14 +57,17 @@
         self._latency = latency
         self._policy = policy
         self._attempt_factory = AttemptFactory(
-            context, request, route, latency, policy.give_up_at
+            context, request, route, latency, policy.give_up_at, self._crashes
         )
         self._dispatcher = AttemptDispatcher(
-            context, request, route.target.top_k, policy.give_up_at
+            context,
+            request,
+            route.target.top_k,
+            policy.give_up_at,
+            self._crashes.fingerprint,
         )
         self._received_count = 0
         self._pending_count = len(self.sub_requests)
-        self._crashed_servers: set[str] = set()
         self._has_policy_timer = False
 
     def log_fields(self) -> dict[str, object]:
@@ -81,7 +81,7 @@
             "retries": self.retries,
             "late_after_ms": round(self._latency.hedge_delay * 1000, 1),
             "missing": missing[:MAX_LOGGED_MISSING_SHARDS],
-            "crashed": sorted(self._crashed_servers),
+            "crashed": self._crashes.servers,
         }
 
     def _start(self) -> None:
@@ -94,6 +94,8 @@
         ]
         for sub_request, attempt in zip(self.sub_requests, attempts, strict=True):
             if attempt is None:
+                if self._crashes.is_quarantined(sub_request.service):
+                    sub_request.failure = NotRun(Cause.QUARANTINED)
                 self._fail(sub_request)
         self._dispatcher.send_first(list(filter(None, attempts)), self._latency)
         self._call_at(now + self._latency.hedge_delay, self._hedge_late_sub_requests)
@@ -134,6 +136,7 @@
             if sub_request.is_pending
             and sub_request.open_attempts
             and not sub_request.is_hedged
+            and not self._may_crash_servers
         ]
         hedges = [self._hedge(sub_request) for sub_request in late]
         self._dispatcher.send_extras(list(filter(None, hedges)))
@@ -143,6 +146,13 @@
             self._call_at(next_check, self._hedge_late_sub_requests)
         self._apply_policy()
 
+    @property
+    def _may_crash_servers(self) -> bool:
+        """Return whether connections were reset and no shard has responded."""
+        return not self._received_count and any(
+            each.is_retry_deferred for each in self.sub_requests
+        )
+
     def _hedge(self, sub_request: SubRequestState) -> Attempt | None:
         """Return a hedge that is still to be sent, or None."""
         (attempt,) = sub_request.open_attempts
@@ -215,12 +225,10 @@
         self._attempt_factory.log_failure(sub_request.service, attempt, verdict)
         if sub_request.failure is None or isinstance(verdict, MayHaveRun):
             sub_request.failure = verdict
-        if verdict == MayHaveRun(Cause.RESET):
-            self._crashed_servers.add(attempt.server.entry.name)
-            if not self._received_count:
-                # The request itself may have crashed the server, so it is not retried
-                # until another shard has responded.
-                sub_request.is_retry_deferred = True
+        if verdict == MayHaveRun(Cause.RESET) and not self._received_count:
+            # The request itself may have crashed the server, so it is not retried
+            # until another shard has responded.
+            sub_request.is_retry_deferred = True
         if sub_request.open_attempts:
             return
         if sub_request.is_retry_deferred:
@@ -295,26 +303,12 @@
             sub_request.open_attempts.clear()
 
     def _make_reply(self, decision: Decision) -> Reply:
-        self._update_quarantine()
         return (
             self._merged_reply()
             if decision is Decision.ANSWER
             else self._failure_reply()
         )
 
-    def _update_quarantine(self) -> None:
-        """Record crashes of servers, or clear the records if any shard responded."""
-        if not self._crashed_servers:
-            return
-        fingerprint = request_fingerprint(self._request)
-        if self._received_count:
-            self._context.crash_monitor.clear(fingerprint, self._request.attempt_id)
-            return
-        for server in self._crashed_servers:
-            self._context.crash_monitor.record_crash(
-                CrashReport(fingerprint, server), SOURCE_OWN, self._request.attempt_id
-            )
-
     def _merged_reply(self) -> Reply:
         parts = [each for each in self.sub_requests if each.signature]
         records = list(chain.from_iterable(part.records for part in parts))
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -93,7 +93,7 @@
         heartbeat = Heartbeat(
             self._build_status(self._heartbeat_number, self.address),
             self._membership.sample_contacts() if includes_contacts else (),
-            self._crash_monitor.quarantine.recent_crashes(self._timers.now()),
+            self._crash_monitor.quarantine.reports_to_share(self._timers.now()),
             self._membership.host_counts_by_data_centre if includes_contacts else {},
         )
         self._endpoint.send_heartbeat(heartbeat, addresses)
@@ -114,7 +114,7 @@
             response = Heartbeat(
                 self._build_status(self._heartbeat_number, self.address),
                 self._membership.sample_contacts(),
-                (),
+                self._crash_monitor.quarantine.reports_to_share(now),
                 self._membership.host_counts_by_data_centre,
             )
             self._endpoint.send_heartbeat(response, [status.peer_address])
@@ -123,8 +123,7 @@
         self._membership.update_host_counts(
             status.data_centre, heartbeat.host_counts_by_data_centre
         )
-        for report in heartbeat.crash_reports:
-            self._crash_monitor.record_crash(report, SOURCE_PEER)
+        self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
         self._compare_views(status, now)
 
     def _compare_views(self, status: HostStatus, now: float) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -1,11 +1,12 @@
 """Quarantine of requests that crash the servers that run them.
 
-A caller may send such a request repeatedly and to any host, so hosts send each other
-reports of the crashes that they observe.
+A caller may send such a request repeatedly and to any host, so hosts report the crashes
+that they observe to each other.
 """
 
-from collections import OrderedDict
-from dataclasses import dataclass, field
+import random
+from collections import OrderedDict, defaultdict
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -13,12 +14,15 @@
 from crocusbay_gateway.state import CallerRequest
 
 CRASHES_TO_QUARANTINE = 3
-CRASH_RETENTION_SECONDS = 120.0
+CRASH_RETENTION_SECONDS = 600.0
 MAX_FINGERPRINTS = 5_000
 # Crash reports in one heartbeat, limited so that it fits into a datagram.
 MAX_SHARED_CRASHES = 8
-# Crash reports are sent to other hosts for this long.
+# Each crash is reported in the heartbeats of this period, and later only if the request
+# is quarantined, one request at a time.
 CRASH_SHARING_SECONDS = 3.0
+# Stands for all services among the services for which a request is quarantined.
+ALL_SERVICES = ""
 
 
 def request_fingerprint(request: CallerRequest) -> str:
@@ -30,63 +34,188 @@
     return digest.hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Describe the crash of a server while it ran a request (seconds).
+
+    `server_started_at` distinguishes restarts under the same name. `is_unanswered` is
+    whether no server responded to the copy of the request that the server ran.
+    """
+
+    service: str
+    server: str
+    server_started_at: int
+    crashed_at: float
+    is_unanswered: bool = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies the server process."""
+        return self.server, self.server_started_at
+
+
 @dataclass(slots=True)
-class _Crashes:
-    servers: set[str] = field(default_factory=set)
+class _Record:
+    """Store the crashes of one request and when servers last responded to it."""
+
+    crash_by_server: dict[tuple[str, int], Crash] = field(default_factory=dict)
+    responded_at_by_service: dict[str, float] = field(default_factory=dict)
     expires_at: float = 0.0
-    last_crash_at: float = 0.0
+
+    @property
+    def quarantined_services(self) -> frozenset[str]:
+        """Return the services that must not run the request."""
+        counts: dict[str, int] = defaultdict(int)
+        for crash in self.crash_by_server.values():
+            counts[crash.service] += 1
+            if crash.is_unanswered:
+                counts[ALL_SERVICES] += 1
+        return frozenset(
+            service
+            for service, count in counts.items()
+            if count >= CRASHES_TO_QUARANTINE
+        )
+
+    def add(self, crash: Crash) -> None:
+        """Add a crash unless a later response shows that it does not count."""
+        responded_at = self.responded_at_by_service
+        if responded_at.get(crash.service, float("-inf")) >= crash.crashed_at:
+            return
+        if any(at >= crash.crashed_at for at in responded_at.values()):
+            crash = replace(crash, is_unanswered=False)
+        known = self.crash_by_server.get(crash.key)
+        if known is None or (crash.is_unanswered and not known.is_unanswered):
+            self.crash_by_server[crash.key] = crash
+
+    def decisive_crashes(self) -> list[Crash]:
+        """Return the crashes that another host needs to reach the same decision."""
+        crashes = list(self.crash_by_server.values())
+        unanswered = [crash for crash in crashes if crash.is_unanswered]
+        if len(unanswered) >= CRASHES_TO_QUARANTINE:
+            return unanswered[:CRASHES_TO_QUARANTINE]
+        services = self.quarantined_services
+        if services:
+            crashes = [crash for crash in crashes if crash.service in services]
+        return crashes
 
 
 class Quarantine:
-    """Count the servers that each request crashed; times are in seconds."""
+    """Count the servers that each request crashed; times are in seconds.
+
+    A request is quarantined for a service after crashing three of its servers, and for
+    all services after crashing three servers while none responded to it.
+    """
 
     def __init__(self) -> None:
-        self._by_fingerprint: OrderedDict[str, _Crashes] = OrderedDict()
-
-    def record_crash(self, report: CrashReport, now: float) -> bool:
-        """Record a crash; return whether the request becomes quarantined by it."""
-        crashes = self._by_fingerprint.get(report.fingerprint)
-        if crashes is None or crashes.expires_at < now:
-            crashes = self._by_fingerprint[report.fingerprint] = _Crashes()
-        if report.server in crashes.servers:
+        self._by_fingerprint: OrderedDict[str, _Record] = OrderedDict()
+        # Requests with crashes to report, in the order of the next reports.
+        self._shared_until: OrderedDict[str, float] = OrderedDict()
+        self._quarantined: OrderedDict[str, None] = OrderedDict()
+
+    def record_crash(self, fingerprint: str, crash: Crash, now: float) -> bool:
+        """Record a crash; return whether the request is quarantined further by it."""
+        if crash.crashed_at + CRASH_RETENTION_SECONDS < now:
             return False
-        crashes.servers.add(report.server)
-        crashes.expires_at = now + CRASH_RETENTION_SECONDS
-        crashes.last_crash_at = now
+        record = self._by_fingerprint.setdefault(fingerprint, _Record())
+        crash_by_server = dict(record.crash_by_server)
+        services = record.quarantined_services
+        record.add(crash)
+        if record.crash_by_server == crash_by_server:
+            return False
+        record.expires_at = max(
+            record.expires_at, crash.crashed_at + CRASH_RETENTION_SECONDS
+        )
+        self._by_fingerprint.move_to_end(fingerprint)
         while len(self._by_fingerprint) > MAX_FINGERPRINTS:
-            self._by_fingerprint.popitem(last=False)
-        return len(crashes.servers) == CRASHES_TO_QUARANTINE
-
-    def is_quarantined(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request with this fingerprint is quarantined."""
-        crashes = self._by_fingerprint.get(fingerprint)
-        if crashes is None or crashes.expires_at < now:
+            self._forget(next(iter(self._by_fingerprint)))
+        self._shared_until[fingerprint] = now + CRASH_SHARING_SECONDS
+        self._shared_until.move_to_end(fingerprint, last=False)
+        if record.quarantined_services:
+            self._quarantined.setdefault(fingerprint)
+        return not record.quarantined_services <= services
+
+    def record_response(self, fingerprint: str, service: str, now: float) -> int:
+        """Record that a server ran a request; return the number of crashes before."""
+        record = self._by_fingerprint.get(fingerprint)
+        if record is None:
+            return 0
+        crash_count = len(record.crash_by_server)
+        record.responded_at_by_service[service] = now
+        record.crash_by_server = {
+            key: replace(crash, is_unanswered=False)
+            for key, crash in record.crash_by_server.items()
+            if crash.service != service
+        }
+        if not record.quarantined_services:
+            self._quarantined.pop(fingerprint, None)
+        return crash_count
+
+    def is_quarantined(
+        self, fingerprint: str, now: float, service: str = ALL_SERVICES
+    ) -> bool:
+        """Return whether a request is quarantined for a service or for all."""
+        record = self._by_fingerprint.get(fingerprint)
+        if record is None or record.expires_at < now:
             return False
-        return len(crashes.servers) >= CRASHES_TO_QUARANTINE
-
-    def knows(self, report: CrashReport) -> bool:
-        """Return whether a crash has already been recorded."""
-        crashes = self._by_fingerprint.get(report.fingerprint)
-        return crashes is not None and report.server in crashes.servers
-
-    def crash_count(self, fingerprint: str) -> int:
-        """Return the number of servers that a request is known to have crashed."""
-        crashes = self._by_fingerprint.get(fingerprint)
-        return 0 if crashes is None else len(crashes.servers)
-
-    def clear(self, fingerprint: str) -> None:
-        """Delete the crashes of a request that a server has responded to."""
-        self._by_fingerprint.pop(fingerprint, None)
-
-    def recent_crashes(self, now: float) -> tuple[CrashReport, ...]:
-        """Return the most recent crash reports, for sending to other hosts."""
+        return not record.quarantined_services.isdisjoint((ALL_SERVICES, service))
+
+    def crashes(self, fingerprint: str) -> dict[tuple[str, int], Crash]:
+        """Return the known crashes of a request, by server."""
+        record = self._by_fingerprint.get(fingerprint)
+        return {} if record is None else record.crash_by_server
+
+    def decisive_reports(self, fingerprint: str, now: float) -> list[CrashReport]:
+        """Return the reports that another host needs to reach the same decision."""
+        record = self._by_fingerprint.get(fingerprint)
+        if record is None:
+            return []
+        return [
+            CrashReport(
+                fingerprint,
+                crash.server,
+                crash.service,
+                crash.server_started_at,
+                round(now - crash.crashed_at, 3),
+                crash.is_unanswered,
+            )
+            for crash in record.decisive_crashes()
+        ]
+
+    def reports_to_share(self, now: float) -> tuple[CrashReport, ...]:
+        """Return the crash reports of the next heartbeat.
+
+        Includes one quarantined request, each in turn, so that a host that starts or
+        was partitioned learns of all of them.
+        """
         reports: list[CrashReport] = []
-        for fingerprint, crashes in reversed(self._by_fingerprint.items()):
-            if crashes.last_crash_at + CRASH_SHARING_SECONDS < now:
-                break
-            reports += [
-                CrashReport(fingerprint, server) for server in sorted(crashes.servers)
-            ]
+        if self._quarantined:
+            fingerprint = next(iter(self._quarantined))
+            self._quarantined.move_to_end(fingerprint)
+            reports += self.decisive_reports(fingerprint, now)
+        for fingerprint, shared_until in list(self._shared_until.items()):
+            if shared_until < now:
+                del self._shared_until[fingerprint]
+                continue
             if len(reports) >= MAX_SHARED_CRASHES:
                 break
+            crashes = self.decisive_reports(fingerprint, now)
+            random.shuffle(crashes)
+            reports += [crash for crash in crashes if crash not in reports]
+            self._shared_until.move_to_end(fingerprint)
         return tuple(reports[:MAX_SHARED_CRASHES])
+
+    def pop_expired(self, now: float) -> list[str]:
+        """Delete the records whose retention has ended; return their fingerprints."""
+        expired = [
+            fingerprint
+            for fingerprint, record in self._by_fingerprint.items()
+            if record.expires_at < now
+        ]
+        for fingerprint in expired:
+            self._forget(fingerprint)
+        return expired
+
+    def _forget(self, fingerprint: str) -> None:
+        del self._by_fingerprint[fingerprint]
+        self._shared_until.pop(fingerprint, None)
+        self._quarantined.pop(fingerprint, None)
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -1,7 +1,8 @@
 """Registry of the known servers, with the connections to them and their health."""
 
+from collections import deque
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.health import ServerHealth
@@ -22,6 +23,9 @@
 # Limits are divided by at least this number of hosts, since a host that has just
 # started does not know the others yet.
 MIN_HOST_COUNT = 3
+# The entry of a server that crashed is removed or replaced within this time.
+END_DETECTION_SECONDS = 8.0
+MAX_END_LISTENERS = 64
 
 
 @dataclass(slots=True)
@@ -32,6 +36,27 @@
     pool: ServerPool
     health: ServerHealth
     is_remote: bool
+    _end_listeners: deque[tuple[float, Callable[[], None]]] = field(
+        default_factory=lambda: deque(maxlen=MAX_END_LISTENERS)
+    )
+
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether the server is neither leaving nor removed."""
+        return self.entry.is_usable and not self.pool.is_closed
+
+    def on_end(self, listener: Callable[[], None], now: float) -> None:
+        """Call a listener if the server soon ends without leaving first."""
+        self._end_listeners.append((now, listener))
+
+    def handle_end(self, now: float) -> None:
+        """Close the connections, and tell listeners if the server had not left."""
+        self.pool.close()
+        if self.entry.is_draining:
+            return
+        for since, listener in self._end_listeners:
+            if now - since < END_DETECTION_SECONDS:
+                listener()
 
     def cost(self, now: float) -> float:
         """Return the expected cost of one more request, in typical requests."""
@@ -164,7 +189,7 @@
     def _apply(self, entry: ServerEntry) -> None:
         known = self._by_name.get(entry.name)
         if known is not None and not self._is_same_process(known.entry, entry):
-            known.pool.close()
+            known.handle_end(self._timers.now())
             del self._by_name[entry.name]
             known = None
         if entry.is_removed:
--- a/packages/gateway/crocusbay_gateway/coordination/relay_client.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_client.py
@@ -72,6 +72,7 @@
         remaining_time: float,
         flush_after: float,
         top_k: int,
+        fingerprint: str,
     ) -> RelayCall:
         """Send sub-requests through the relay; their exchanges receive the verdicts.
 
@@ -105,6 +106,7 @@
                 flush_after,
                 top_k,
                 tuple(sub_request for sub_request, _ in sub_requests),
+                fingerprint,
             )
         )
         return call
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -6,6 +6,8 @@
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.attempt import Attempt, AttemptFactory, RouteLatency
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.crash_monitor import RequestCrashes
+from crocusbay_gateway.coordination.quarantine import request_fingerprint
 from crocusbay_gateway.coordination.records import TopRecords
 from crocusbay_gateway.protocol import (
     RelayCancel,
@@ -52,8 +54,13 @@
             self._give_up_at,
             "",
         )
+        self._crashes = RequestCrashes(
+            context.crash_monitor,
+            query.fingerprint or request_fingerprint(self._request),
+            query.attempt_id,
+        )
         self._attempt_factory = AttemptFactory(
-            context, self._request, route, latency, self._give_up_at
+            context, self._request, route, latency, self._give_up_at, self._crashes
         )
         self._in_flight: dict[int, Attempt] = {}
         self._top_records = TopRecords(query.top_k)
@@ -77,6 +84,9 @@
             if server is None or server.health.is_misdirected(now):
                 self._add_failure(index, NotRun(Cause.NO_UPSTREAM), is_sent=False)
                 continue
+            if self._crashes.is_quarantined(sub_request.service):
+                self._add_failure(index, NotRun(Cause.QUARANTINED), is_sent=False)
+                continue
             attempt = Attempt(
                 self._context,
                 self._request,
@@ -87,6 +97,7 @@
                 lambda attempt, verdict, index=index: self._handle_verdict(
                     index, attempt, verdict
                 ),
+                self._crashes,
                 is_extra=False,
             )
             self._in_flight[index] = attempt
--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -6,7 +6,7 @@
 
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.context import Context
-from crocusbay_gateway.state import Reply
+from crocusbay_gateway.state import CallerRequest, Reply
 
 Outcome = TypeVar("Outcome")
 
@@ -14,8 +14,9 @@
 class RequestHandler(Generic[Outcome]):
     """Serve one request: start, wait for the outcome, clean up and build the reply."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, request: CallerRequest) -> None:
         self._context = context
+        self._crashes = context.crash_monitor.track(request)
         self._now = context.timers.now
         self._done: asyncio.Future[Outcome]
         self._timers: list[Timer] = []
@@ -32,6 +33,7 @@
             for timer in self._timers:
                 timer.cancel()
             self._abandon_attempts(immediately=not is_finished)
+            self._crashes.end()
         return self._make_reply(outcome)
 
     def log_fields(self) -> dict[str, object]:
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -17,7 +17,6 @@
     PartialAnswerPolicy,
     min_parts,
 )
-from crocusbay_gateway.coordination.quarantine import request_fingerprint
 from crocusbay_gateway.coordination.refusal import make_refusal
 from crocusbay_gateway.coordination.relay_server import RelayServer
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
@@ -102,14 +101,12 @@
             self.running_count + self.relay_server.running_count, route.priority
         ):
             return route, make_refusal(Cause.OVERLOAD, self._remaining_time(request))
-        now = self._context.timers.now()
-        quarantine = self._context.crash_monitor.quarantine
-        fingerprint = request_fingerprint(request)
-        if quarantine.is_quarantined(fingerprint, now):
+        crashes = self._context.crash_monitor.track(request)
+        if crashes.is_quarantined():
             self._context.log.warning(
                 "quarantine-refusal",
                 request=request.attempt_id,
-                fingerprint=fingerprint,
+                fingerprint=crashes.fingerprint,
             )
             return route, make_refusal(Cause.QUARANTINED)
         return route, None
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -30,6 +30,7 @@
     ToService,
     ToShards,
 )
+from crocusbay_gateway.transport import Listening
 
 START_SECONDS = 3_600.0
 
@@ -82,6 +83,7 @@
     status: int = 200
     headers: tuple = ()
     body: bytes = b"r" * 16
+    listening: Listening = Listening.ACCEPTED
 
 
 @dataclass
@@ -96,6 +98,10 @@
     has_capacity: bool = True
     has_connection: bool = False
     close_count: int = 0
+    is_closed: bool = False
+
+    def check_listening(self, on_result):
+        on_result(self.script.listening)
 
     def submit(self, exchange):
         self.received.append(exchange)
@@ -116,6 +122,7 @@
 
     def close(self):
         self.close_count += 1
+        self.is_closed = True
 
     def _respond(self, exchange, script):
         if exchange.channel.current_exchange is None:
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
@@ -0,0 +1,108 @@
+import pytest
+
+from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
+from crocusbay_gateway.coordination.quarantine import (
+    ALL_SERVICES,
+    CRASH_RETENTION_SECONDS,
+    CRASH_SHARING_SECONDS,
+    MAX_SHARED_CRASHES,
+    Crash,
+    Quarantine,
+)
+from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
+
+NOW = 10.0
+
+
+def add_crashes(quarantine, fingerprint, *crashes):
+    """Record crashes given as service, server, start and whether none responded."""
+    return [
+        quarantine.record_crash(
+            fingerprint, Crash(service, server, start, NOW, is_unanswered), NOW
+        )
+        for service, server, start, is_unanswered in crashes
+    ]
+
+
+@pytest.mark.parametrize(
+    ("crashes", "services"),
+    [
+        # Three servers of a service, or three starts of one server.
+        ([("s", "a", 1, False), ("s", "b", 1, False), ("s", "c", 1, False)], {"s"}),
+        ([("s", "a", 1, False), ("s", "a", 2, False), ("s", "a", 3, False)], {"s"}),
+        # One start counts once, whoever reports it.
+        ([("s", "a", 1, False)] * 3, set()),
+        ([("s", "a", 1, False), ("s", "b", 1, False)], set()),
+        # Crashes of several services count together only if no server responded.
+        ([("s", "a", 1, False), ("t", "b", 1, False), ("u", "c", 1, False)], set()),
+        (
+            [("s", "a", 1, True), ("t", "b", 1, True), ("u", "c", 1, True)],
+            {ALL_SERVICES, "s", "t", "u"},
+        ),
+        # The end of a copy without a response changes what is known of its crashes.
+        (
+            [("s", "a", 1, False), ("t", "b", 1, True), ("u", "c", 1, True)]
+            + [("s", "a", 1, True)],
+            {ALL_SERVICES, "s", "t", "u"},
+        ),
+    ],
+)
+def test_request_is_quarantined_after_crashing_three_servers(crashes, services):
+    quarantine = Quarantine()
+    was_quarantined_further = add_crashes(quarantine, "f", *crashes)
+    quarantined = {
+        service
+        for service in (ALL_SERVICES, "s", "t", "u")
+        if quarantine.is_quarantined("f", NOW, service)
+    }
+    assert quarantined == services
+    assert was_quarantined_further == [False] * (len(crashes) - 1) + [bool(services)]
+    late = NOW + 1.0 + CRASH_RETENTION_SECONDS
+    assert not quarantine.is_quarantined("f", late, "s")
+
+
+def test_response_of_a_server_shows_that_earlier_crashes_had_another_cause():
+    quarantine = Quarantine()
+    crashes = [("s", name, 1, True) for name in "abc"] + [("t", "d", 1, True)]
+    add_crashes(quarantine, "f", *crashes)
+    assert quarantine.record_response("f", "s", NOW + 1.0) == len(crashes)
+    # Reports of other hosts may arrive later than the response.
+    add_crashes(quarantine, "f", *crashes)
+    assert not quarantine.is_quarantined("f", NOW + 1.0, "s")
+    assert list(quarantine.crashes("f").values()) == [Crash("t", "d", 1, NOW)]
+
+
+def test_every_request_is_reported_while_it_is_quarantined():
+    """Other hosts may start, or be reached again, at any time."""
+    sender, receiver = (SimulatedGateway({}) for _ in range(2))
+    quarantine = Quarantine()
+    fingerprints = [f"f{number}" for number in range(6)]
+    for fingerprint in fingerprints:
+        add_crashes(
+            quarantine, fingerprint, *((name, name, 1, True) for name in "abcde")
+        )
+    now = sender.timers.now()
+    monitor = CrashMonitor(
+        Quarantine(), receiver.context.log, receiver.context.metrics, receiver.timers
+    )
+    for _ in fingerprints:
+        reports = quarantine.reports_to_share(NOW + CRASH_SHARING_SECONDS + 1.0)
+        assert len(reports) <= MAX_SHARED_CRASHES
+        monitor.record_reports(reports, SOURCE_PEER)
+    for fingerprint in fingerprints:
+        assert monitor.quarantine.is_quarantined(fingerprint, now)
+    # The receiver reports the crashes with their age, so they expire everywhere.
+    reports = monitor.quarantine.reports_to_share(now)
+    assert all(report.age > CRASH_SHARING_SECONDS for report in reports)
+
+
+def test_crash_is_reported_after_those_of_later_requests():
+    quarantine = Quarantine()
+    add_crashes(quarantine, "a", ("s", "s1", 1, True))
+    add_crashes(quarantine, "b", ("s", "s1", 1, True))
+    later = NOW + CRASH_SHARING_SECONDS + 6.0
+    for name in ("s2", "s3"):
+        quarantine.record_crash("a", Crash("s", name, 1, later, True), later)
+    reports = quarantine.reports_to_share(later)
+    assert {report.server for report in reports} == {"s1", "s2", "s3"}
+    assert {report.fingerprint for report in reports} == {"a"}
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -14,10 +14,18 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """Report a server crash during a request with this fingerprint."""
+    """Report a server crash during a request with this fingerprint.
+
+    `age` is the time since the crash (seconds). `is_unanswered` is whether no server
+    responded to that copy of the request.
+    """
 
     fingerprint: str
     server: str
+    service: str = ""
+    server_started_at: int = 0
+    age: float = 0.0
+    is_unanswered: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/crocusbay_gateway/protocol/relay.py
+++ b/packages/gateway/crocusbay_gateway/protocol/relay.py
@@ -17,7 +17,8 @@
 
     Responses received within `flush_after` are returned in one batch, later ones one by
     one. `remaining_time` is the time left for the servers. `top_k` is the number of
-    records in the reply to the caller.
+    records in the reply to the caller. `fingerprint` is the same for all copies of the
+    caller's request; hosts of older versions send none.
     """
 
     query_id: int
@@ -31,6 +32,7 @@
     flush_after: float
     top_k: int
     sub_requests: tuple[RelayedSubRequest, ...]
+    fingerprint: str = ""
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True, tag="leave"):
--- a/packages/gateway/crocusbay_gateway/transport/__init__.py
+++ b/packages/gateway/crocusbay_gateway/transport/__init__.py
@@ -9,12 +9,13 @@
     fetch_view,
 )
 from crocusbay_gateway.transport.server_connection import Exchange, ServerConnection
-from crocusbay_gateway.transport.server_pool import ServerPool
+from crocusbay_gateway.transport.server_pool import Listening, ServerPool
 
 __all__ = [
     "CallerServer",
     "Exchange",
     "FrameConnection",
+    "Listening",
     "PeerEndpoint",
     "ServerConnection",
     "ServerPool",
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 
 import anyio
 
@@ -25,6 +26,16 @@
 # grace period.
 DEADLINE_GRACE_SECONDS = 0.05
 MAX_QUEUED_EXCHANGES = 64
+# The other connections to a server that has crashed are closed within this time.
+CHECK_DELAY_SECONDS = 0.01
+
+
+class Listening(Enum):
+    """Result of a connection attempt: whether a process listens at the address."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
 
 
 class ServerPool:
@@ -65,6 +76,11 @@
             or len(self._open) + self._connecting < self.connection_limit
         )
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the server is no longer used."""
+        return self._is_closed
+
     @property
     def has_connection(self) -> bool:
         """Return whether at least one connection is open."""
@@ -90,6 +106,24 @@
         self._queue.append(exchange)
         self._open_if_needed()
 
+    def check_listening(self, on_result: Callable[[Listening], None]) -> None:
+        """Report whether a server accepts a connection, which may then be used."""
+        self._timers.at(
+            self._timers.now() + CHECK_DELAY_SECONDS,
+            lambda: self._check_listening(on_result),
+        )
+
+    def _check_listening(self, on_result: Callable[[Listening], None]) -> None:
+        if self.open_connections >= self.connection_limit:
+            on_result(Listening.ACCEPTED)
+            return
+
+        async def check() -> None:
+            on_result(await self._connect())
+
+        self._connecting += 1
+        self._spawn(check)
+
     def close(self) -> None:
         """Fail queued exchanges and let those in progress finish."""
         self._is_closed = True
@@ -142,7 +176,8 @@
             self._connecting += 1
             self._spawn(self._connect)
 
-    async def _connect(self) -> None:
+    async def _connect(self) -> Listening:
+        """Open a connection; return whether the server accepted it."""
         ip, port = split_address(self.address)
         loop = asyncio.get_running_loop()
         try:
@@ -158,20 +193,22 @@
                     ip,
                     port,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             self._connecting -= 1
             self._on_connect(False)
             if not self._open and not self._connecting:
                 self._fail_queued(Cause.CONNECT_FAILED)
-            return
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Listening.REFUSED if is_refused else Listening.UNKNOWN
         self._connecting -= 1
         self.connections_opened += 1
         self._on_connect(True)
         if connection.is_closed:
             self._open_if_needed()
-            return
+            return Listening.ACCEPTED
         self._open.add(connection)
         self._on_idle(connection)
+        return Listening.ACCEPTED
 
     def _on_idle(self, connection: ServerConnection) -> None:
         connection.stop_timer()
--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -84,8 +84,13 @@
                     await self.send_request(address, self._rng.choice(kinds))
                 await asyncio.sleep(MEAN_PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
         finally:
-            for _, writer in self._stream_by_address.values():
-                writer.close()
+            self.close()
+
+    def close(self) -> None:
+        """Close all connections, and so leave a request in progress."""
+        for _, writer in self._stream_by_address.values():
+            writer.close()
+        self._stream_by_address.clear()
 
     async def send_request(
         self, address: str, kind: RequestKind, target: str = ""
