Keep quarantines in the platform's store, so that they outlast all hosts

What callers saw: after a restart of all hosts, servers ended again under a request known to crash them. Cause: the quarantine lived in the memory of hosts only. Change: a host that observed a crash of a quarantined request writes its crashes to the store until that succeeds; three hosts read them after their start, as does a host that hears no other; the rest learn from heartbeats. Whoever wrote or read an object removes it when its retention ends, so no wall clock is needed. Ruled out: each host reading at its start, which costs as many calls as there are hosts. Conclusion: what remains is a restart of all hosts before the store has been told.

--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from crocusbay_gateway.protocol import KnownHost
+from crocusbay_gateway.protocol import CrashReport, KnownHost
 from crocusbay_gateway.state import Configuration, ServerEntry
 
 
@@ -64,3 +64,14 @@
 
     async def remove_host(self, name: str) -> None:
         """Remove the entry of a lost host."""
+
+    async def write_crash_reports(
+        self, fingerprint: str, reports: tuple[CrashReport, ...]
+    ) -> None:
+        """Write the crashes for which a request is quarantined."""
+
+    async def list_crash_reports(self) -> tuple[CrashReport, ...]:
+        """Return the crashes for which requests are quarantined."""
+
+    async def remove_crash_reports(self, fingerprint: str) -> None:
+        """Remove the crashes of a request that is no longer quarantined."""
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -19,6 +19,7 @@
 )
 from crocusbay_gateway.coordination.peering import Peering
 from crocusbay_gateway.coordination.quarantine import Quarantine
+from crocusbay_gateway.coordination.quarantine_store import QuarantineStore
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
 from crocusbay_gateway.coordination.service import RequestService
@@ -126,6 +127,7 @@
             tasks.start_soon(self.store_watcher.watch_configuration)
             tasks.start_soon(self.store_watcher.watch_servers)
             tasks.start_soon(self.peering.maintain_host_list, self._store)
+            tasks.start_soon(self.quarantine_store.run)
             await self._stop_requested.wait()
             await self._finish_requests()
             self.log.info("stopped", left_out=self.log.dropped_lines)
@@ -144,6 +146,14 @@
         self.crash_monitor = CrashMonitor(
             Quarantine(), self.log, self.metrics, self.timers
         )
+        self.quarantine_store = QuarantineStore(
+            self.crash_monitor,
+            self.membership,
+            self._store,
+            lambda: self.store_watcher.reaches_store,
+            self.log,
+            self.timers,
+        )
         context = Context(
             self._conventions,
             self.timers,
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -158,6 +158,13 @@
             ):
                 return 409, {}
             return 200, self._put(kind, sent.meta.name, sent.spec)
+        if method == "DELETE":
+            name = url.path.rpartition("/")[2]
+            stored_object = self._objects_by_kind.get(kind, {}).pop(name, None)
+            if stored_object is None:
+                return 404, {}
+            self._append_event(kind, ChangeEvent(stored_object, deleted=True))
+            return 200, stored_object
         if WATCH_PARAMETER in query:
             return await self._watch(
                 kind, int(query[WATCH_PARAMETER]), int(query[WAIT_MS_PARAMETER])
