Cut off responses without end, in the head or the body

What callers would see: a host killed for its memory. Cause: only the body of one response was limited, to 16 MiB. A reason, header, trailer or chunk extension without end and an endless row of informational responses were kept or parsed until the deadline, at any size; and a few dozen endless bodies at once exceed the memory of a host. One-byte chunks are no longer kept one by one. Conclusion: a limit belongs to what is received, not to one part of it.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -61,7 +61,9 @@
         }
         if crash.key in crashes and not is_known:
             self._metrics.server_crashes.inc(source)
-            self._log.warning(
+            # Each crash is observed by one host and reported to all.
+            log_event = self._log.warning if source == SOURCE_OWN else self._log.info
+            log_event(
                 "server-crashed", service=crash.service, server=crash.server, **fields
             )
         if source == SOURCE_OWN:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -9,7 +9,7 @@
 from crocusbay_gateway.coordination.retry_budget import RetryBudget
 from crocusbay_gateway.protocol import HttpConventions
 from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
-from crocusbay_gateway.transport.server_pool import ServerPool
+from crocusbay_gateway.transport import ReceiveBudget, ServerPool
 
 # Share of a server's limit left free for connections that a host has closed but that
 # the server still counts as open.
@@ -82,6 +82,7 @@
         self._bounds = bounds
         self._timers = timers
         self._spawn = spawn
+        self._receive_budget = ReceiveBudget()
         self._by_name: dict[str, Server] = {}
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._limit_by_service: dict[str, int] = {}
@@ -205,6 +206,7 @@
                 self._conventions,
                 self._timers,
                 self._spawn,
+                self._receive_budget,
             ),
             ServerHealth(self._timers.now() + entry.warm_up_time),
             is_remote=entry.data_centre != self._data_centre,
--- a/packages/gateway/crocusbay_gateway/transport/__init__.py
+++ b/packages/gateway/crocusbay_gateway/transport/__init__.py
@@ -8,6 +8,7 @@
     connect_relay,
     fetch_view,
 )
+from crocusbay_gateway.transport.receive_budget import ReceiveBudget
 from crocusbay_gateway.transport.server_connection import Exchange, ServerConnection
 from crocusbay_gateway.transport.server_pool import Listening, ServerPool
 
@@ -17,6 +18,7 @@
     "FrameConnection",
     "Listening",
     "PeerEndpoint",
+    "ReceiveBudget",
     "ServerConnection",
     "ServerPool",
     "connect_relay",
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -9,8 +9,13 @@
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.state import ServerResponse
+from crocusbay_gateway.transport.receive_budget import ReceiveBudget
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Includes informational responses before the final one.
+MAX_HEAD_BYTES = 64 * 1024
+# Smaller responses are not worth the accounting.
+MIN_BUDGETED_BYTES = 64 * 1024
 
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -103,6 +108,7 @@
         on_idle: Callable[["ServerConnection"], None],
         on_lost: Callable[["ServerConnection"], None],
         now: Callable[[], float],
+        receive_budget: ReceiveBudget,
     ) -> None:
         self.current_exchange: Exchange | None = None
         self.last_used_at = now()
@@ -115,6 +121,8 @@
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._now = now
+        self._receive_budget = receive_budget
+        self._received_bytes = 0
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
         self._is_reset = False
@@ -166,6 +174,8 @@
                 )
         if self._is_complete:
             self._deliver()
+        else:
+            self._limit_size(len(data))
 
     def eof_received(self) -> None:
         """Complete an unframed response, fail any other (called by the event loop)."""
@@ -217,10 +227,7 @@
         """Append a chunk of the body (called by the parser)."""
         if self._has_extra_data:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            raise ValueError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Mark a final response as complete (called by the parser)."""
@@ -237,8 +244,27 @@
         self._reason = b""
         self._signature = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+
+    def _limit_size(self, added_bytes: int) -> None:
+        """Cut off a response without end, whatever part of it has none."""
+        if self.is_closed:
+            return
+        self._received_bytes += added_bytes
+        has_final_head = self._has_headers and self._status >= 200
+        max_bytes = MAX_RESPONSE_BYTES if has_final_head else MAX_HEAD_BYTES
+        if self._received_bytes > max_bytes:
+            self._cut_off()
+        elif self._received_bytes > MIN_BUDGETED_BYTES:
+            self._receive_budget.set_size(self._cut_off, self._received_bytes)
+
+    def _reset_size(self) -> None:
+        if self._received_bytes > MIN_BUDGETED_BYTES:
+            self._receive_budget.set_size(self._cut_off, 0)
+        self._received_bytes = 0
+
+    def _cut_off(self) -> None:
+        self._terminate(Cause.PROTOCOL)
 
     def _check_attempt(self, value: bytes) -> None:
         expected = self.current_exchange.attempt_id
@@ -261,7 +287,7 @@
             self._status,
             self._reason,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             self._signature,
         )
         must_close = self._must_close or self._has_extra_data
@@ -269,6 +295,7 @@
         self.last_used_at = self._now()
         self.response_count += 1
         self._reset_message()
+        self._reset_size()
         if must_close:
             self._terminate(Cause.CANCELLED)
         exchange.finish(Ran(response))
@@ -280,6 +307,7 @@
             return
         self.is_closed = True
         self._transport.abort()
+        self._reset_size()
         exchange, self.current_exchange = self.current_exchange, None
         self._on_lost(self)
         if exchange is not None:
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -10,6 +10,7 @@
 from crocusbay.state import Cause, NotRun, split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.protocol.http_conventions import HttpConventions
+from crocusbay_gateway.transport.receive_budget import ReceiveBudget
 from crocusbay_gateway.transport.server_connection import Exchange, ServerConnection
 
 # An exchange that must not be repeated uses only connections idle for less than this: a
@@ -53,6 +54,7 @@
         conventions: HttpConventions,
         timers: TimerService,
         spawn: Callable,
+        receive_budget: ReceiveBudget,
         on_connect: Callable[[bool], None] = lambda is_open: None,
     ) -> None:
         self.address = address
@@ -61,6 +63,7 @@
         self._conventions = conventions
         self._timers = timers
         self._spawn = spawn
+        self._receive_budget = receive_budget
         self._on_connect = on_connect
         self._idle: list[ServerConnection] = []
         self._open: set[ServerConnection] = set()
@@ -189,6 +192,7 @@
                         self._on_idle,
                         self._on_lost,
                         self._timers.now,
+                        self._receive_budget,
                     ),
                     ip,
                     port,
--- a/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -9,7 +9,7 @@
 
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.protocol.tests.http_conventions import HTTP_CONVENTIONS
-from crocusbay_gateway.transport import Exchange, ServerPool
+from crocusbay_gateway.transport import Exchange, ReceiveBudget, ServerPool
 
 TIMEOUT_SECONDS = 10.0
 
@@ -61,7 +61,7 @@
 
 
 @asynccontextmanager
-async def open_pool(*scripts, connection_limit=4):
+async def open_pool(*scripts, connection_limit=4, budget=None):
     """Yield a scripted server and a pool of connections to it."""
     scripted = ScriptedServer(*scripts)
     server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
@@ -70,7 +70,12 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(timers.run)
         pool = ServerPool(
-            f"{ip}:{port}", connection_limit, HTTP_CONVENTIONS, timers, tasks.start_soon
+            f"{ip}:{port}",
+            connection_limit,
+            HTTP_CONVENTIONS,
+            timers,
+            tasks.start_soon,
+            budget or ReceiveBudget(),
         )
         yield scripted, pool, timers
         pool.abort()
