Soak hosts with requests that crash the servers that run them

Change: a soak may repeat crashing requests throughout, and checks the platform's bound on retries after the third crash.

--- a/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
@@ -16,6 +16,7 @@
     SoakPlan(1069),
     SoakPlan(1070),
     SoakPlan(1087),
+    SoakPlan(3000, crashing_requests=3),
 ]
 
 
--- a/packages/standins/crocusbay_standins/soak/__main__.py
+++ b/packages/standins/crocusbay_standins/soak/__main__.py
@@ -17,6 +17,11 @@
 @click.option("--hosts", default=4, help="Host processes.")
 @click.option("--callers", default=6, help="Callers, each with persistent connections.")
 @click.option("--seconds", default=10.0, help="Time during which faults start.")
+@click.option(
+    "--crashing-requests",
+    default=0,
+    help="Requests, repeated throughout, that crash the servers that run them.",
+)
 @click.option(
     "--logs", type=click.Path(path_type=Path), help="Folder that keeps the logs."
 )
@@ -29,6 +34,7 @@
     hosts: int,
     callers: int,
     seconds: float,
+    crashing_requests: int,
     logs: Path | None,
     emulated: bool,
 ) -> None:
@@ -37,7 +43,9 @@
     for seed in range(first_seed, first_seed + seeds):
         folder = (logs or Path(tempfile.mkdtemp())) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        plan = SoakPlan(seed, hosts, callers, seconds)
+        plan = SoakPlan(
+            seed, hosts, callers, seconds, crashing_requests=crashing_requests
+        )
         if emulated:
             report = run_emulated_soak(plan, folder)
         else:
--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -14,6 +14,9 @@
 SCHEDULING_TOLERANCE_SECONDS = 0.5
 # A host counts as free of faults this long after the last fault of it or the store.
 FAULT_FREE_SECONDS = 4.0
+# A request that has crashed this many servers reaches servers again at most so often.
+CRASHES_TO_QUARANTINE = 3
+MAX_RETRIES_OF_CRASHING_REQUEST = 3
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -64,6 +67,7 @@
             check_configuration,
             check_interrupted_requests,
             check_connections,
+            check_crashing_requests,
         )
         for violation in check(observations)
     ]
@@ -282,3 +286,42 @@
         for server, count in observations.peak_connections.items()
         if count > limit_by_service[server.rpartition("/")[0]]
     ]
+
+
+def check_crashing_requests(observations: Observations) -> list[Violation]:
+    """Check that hosts soon stop sending a request that crashes its servers."""
+    outcome_by_attempt_id = {
+        outcome.attempt_id: outcome
+        for outcome in observations.outcomes
+        if outcome.kind is RequestKind.CRASHING
+    }
+    by_target: dict[str, list[ReceivedRequest]] = defaultdict(list)
+    for request in observations.received_requests:
+        outcome = outcome_by_attempt_id.get(request.attempt_id)
+        if outcome is not None and request.has_run:
+            by_target[outcome.path].append(request)
+    violations = []
+    for target, received_requests in by_target.items():
+        received_requests.sort(key=lambda each: each.received_at)
+        if len(received_requests) < CRASHES_TO_QUARANTINE:
+            continue
+        stable_at = (
+            received_requests[CRASHES_TO_QUARANTINE - 1].received_at
+            + FAULT_FREE_SECONDS
+            + SCHEDULING_TOLERANCE_SECONDS
+        )
+        late = [
+            request
+            for request in received_requests
+            if request.received_at > stable_at
+            and observations.is_fault_free(
+                outcome_by_attempt_id[request.attempt_id].host, request.received_at
+            )
+        ]
+        if len(late) > MAX_RETRIES_OF_CRASHING_REQUEST:
+            detail = (
+                f"{target}: {len(late)} retries, the first {late[0].attempt_id} at "
+                f"{late[0].received_at:.1f}, allowed until {stable_at:.1f}"
+            )
+            violations.append(Violation("crashing request stopped", "", detail))
+    return violations
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -12,7 +12,7 @@
 from crocusbay_standins.soak.faults import FaultInjector
 from crocusbay_standins.soak.hosts import ProcessHost, SoakHost, make_hosts
 from crocusbay_standins.soak.proxy import Proxy
-from crocusbay_standins.soak.servers import StandInServer
+from crocusbay_standins.soak.servers import CRASH_MARK, StandInServer
 from crocusbay_standins.soak.store import StandInStore
 
 DATA_CENTRES = ["a", "b", "c"]
@@ -23,6 +23,7 @@
 RECOVERY_CHECK_SECONDS = 5.0
 MIN_SERVED_RATIO = 0.9
 PROBE_INTERVAL_SECONDS = 0.4
+MAX_CRASHING_PAUSE_SECONDS = 0.6
 SERVERS_PER_SERVICE = 2
 
 
@@ -36,6 +37,8 @@
     fault_seconds: float = 10.0
     # With three, each shard has no server in one of them.
     data_centres: int = 2
+    # Requests that crash the servers that run them; each is sent again and again.
+    crashing_requests: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +107,8 @@
                 tasks.create_task(caller.run()) for caller in self._make_callers()
             ]
             running.append(tasks.create_task(self._run_probes()))
+            if self.plan.crashing_requests:
+                running.append(tasks.create_task(self._send_crashing_requests()))
             await asyncio.sleep(WARM_UP_SECONDS)
             await self._fault_injector.inject(self.plan.fault_seconds)
             await self._fault_injector.clear()
@@ -140,6 +145,7 @@
                 self._store,
                 self.received_requests,
                 random.Random(f"{self.plan.seed} {service.name} {number}"),
+                is_renamed_on_restart=number == 0,
             )
             for index, service in enumerate(make_services())
             for number in range(SERVERS_PER_SERVICE)
@@ -191,6 +197,24 @@
                     host.settings.caller_address, RequestKind.PROBE
                 )
 
+    async def _send_crashing_requests(self) -> None:
+        rng = random.Random(f"{self.plan.seed} crashing")
+        paths = [PATHS[RequestKind.GATHER], PATHS[RequestKind.FETCH]]
+        targets = [
+            f"{paths[number % 2]}{CRASH_MARK}-{number}"
+            for number in range(self.plan.crashing_requests)
+        ]
+        caller = Caller("crashing", self._hosts, self.outcomes, rng, PATHS)
+        while True:
+            await asyncio.sleep(rng.uniform(0.0, MAX_CRASHING_PAUSE_SECONDS))
+            host = rng.choice(self._hosts)
+            if host.is_running and not host.is_paused:
+                await caller.send_request(
+                    host.settings.caller_address,
+                    RequestKind.CRASHING,
+                    rng.choice(targets),
+                )
+
     def _report(self) -> SoakReport:
         observations = Observations(
             self.outcomes,
@@ -207,7 +231,8 @@
         recent = [
             o
             for o in self.outcomes
-            if o.sent_at > since and o.kind is not RequestKind.PROBE
+            if o.sent_at > since
+            and o.kind not in (RequestKind.PROBE, RequestKind.CRASHING)
         ]
         succeeded = sum(outcome.status == 200 for outcome in recent)
         if succeeded < MIN_SERVED_RATIO * len(recent) or not recent:
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -155,6 +155,29 @@
     assert bool(checks.check_interrupted_requests(observations)) == has_violation
 
 
+@pytest.mark.parametrize(
+    ("late_count", "is_fault_free", "has_violation"),
+    [(3, True, False), (4, True, True), (4, False, False)],
+)
+def test_late_retries_of_a_crashing_request_are_detected(
+    late_count, is_fault_free, has_violation
+):
+    # Three crashes at once, more in the time that hosts need, and late ones.
+    received_at = [10.0] * 3 + [14.0] * 3 + [15.0] * late_count
+    outcomes = [
+        Outcome(f"a{number}", RequestKind.CRASHING, "h", at, at, 502, {}, b"", "/crash")
+        for number, at in enumerate(received_at)
+    ]
+    received_requests = [
+        ReceivedRequest(at, f"a{number}", "s0", "s0/0", True)
+        for number, at in enumerate(received_at)
+    ]
+    observations = make_observations(
+        outcomes, received_requests, is_fault_free=is_fault_free
+    )
+    assert bool(checks.check_crashing_requests(observations)) == has_violation
+
+
 def test_running_host_is_not_started_twice(tmp_path):
     (host,) = make_hosts(
         ProcessHost, 1, ["a"], tmp_path, [_UnusedProxy()], third_octet=251
