Refuse requests while no configuration has been read, instead of denying them

What callers saw: 404 for a deployment that exists, from a host that has just started. Cause: a host that knows no configuration looked the deployment up in an empty table, and the local cluster counted it as started. Change: such a host answers 503 with Retry-After (not run), also at /health, and the local cluster waits for that. Ruled out: a longer wait in the test, which would leave the wrong answer to callers.

--- a/packages/host/crocusbay_host/app.py
+++ b/packages/host/crocusbay_host/app.py
@@ -41,10 +41,17 @@
     parse_stamp,
 )
 from crocusbay_host.host import Host, view_upstreams
-from crocusbay_host.reply import Reply, json_reply, verdict_name, verdict_reply
+from crocusbay_host.reply import (
+    STATUS_UNAVAILABLE,
+    Reply,
+    json_reply,
+    verdict_name,
+    verdict_reply,
+)
 from crocusbay_host.request import (
     CallerDisconnected,
     CallerRequest,
+    HostNotReadyError,
     Receive,
     RequestError,
     check_id,
@@ -55,6 +62,11 @@
 )
 
 STATUS_INTERNAL = 500
+# A host reads the configuration within a second if the platform responds.
+NOT_READY_RETRY_SECONDS = 1.0
+NOT_READY_VERDICT = NotRun(
+    Cause.PLATFORM_UNAVAILABLE, NOT_READY_RETRY_SECONDS, "no configuration read yet"
+)
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -81,6 +93,9 @@
                 error.bad_request.field
             ).inc()
             reply = Reply(error.status, to_json(error.bad_request))
+        except HostNotReadyError:
+            _log.warning("request-refused", request=request_id, cause="not ready")
+            reply = verdict_reply(request_id, NOT_READY_VERDICT)
         except CallerDisconnected:
             return
         except Exception:
@@ -116,7 +131,7 @@
                     self._host.entry_reply(request.query_by_name.get("place", ""))
                 )
             case "GET", ("health",):
-                return json_reply({"host": self._host.context.host})
+                return self._health()
             case "GET", ("status",):
                 return json_reply(self._host.status())
             case "GET", ("timeline",):
@@ -140,6 +155,10 @@
             "path", f"{request.method} {path}", "a known path", 404
         )
 
+    def _health(self) -> Reply:
+        status = STATUS_OK if self._host.is_ready else STATUS_UNAVAILABLE
+        return Reply(status, to_json({"host": self._host.context.host}))
+
     def _timeline(self, request: CallerRequest) -> Reply:
         request_id = request.query_by_name.get("request", "")
         return json_reply(self._host.context.timeline.events(request_id))
@@ -150,6 +169,8 @@
 
     def _runtime(self, deployment: str) -> DeploymentRuntime:
         runtime = self._host.runtime_by_name.get(deployment)
+        if runtime is None and not self._host.is_ready:
+            raise HostNotReadyError
         if runtime is None:
             known = ", ".join(sorted(self._host.runtime_by_name)) or "none"
             raise invalid_value_error(
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -106,6 +106,11 @@
             self._tasks.cancel_scope.cancel()
         await self._platform.close()
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this host has read the configuration, or received it."""
+        return self._cache.revision > 0
+
     def leave(self) -> None:
         """Start a planned shutdown: notify peers and drop out of /entry replies."""
         if self._leaving.is_set():
--- a/packages/host/crocusbay_host/request.py
+++ b/packages/host/crocusbay_host/request.py
@@ -27,6 +27,10 @@
         self.bad_request = bad_request
 
 
+class HostNotReadyError(Exception):
+    """Report that the host has not read any configuration yet."""
+
+
 class CallerDisconnected(Exception):
     """Report that the caller disconnected before it got a reply."""
 
--- a/packages/standins/crocusbay_standins/local_cluster.py
+++ b/packages/standins/crocusbay_standins/local_cluster.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
@@ -32,6 +33,8 @@
 DOCUMENTS_PER_SHARD = 400
 STOP_TIMEOUT_SECONDS = 20.0
 CALL_TIMEOUT_SECONDS = 10.0
+READINESS_TIMEOUT_SECONDS = 20.0
+READINESS_CHECK_INTERVAL_SECONDS = 0.02
 LOG_TAIL_CHARS = 2_000
 
 
@@ -107,6 +110,8 @@
         for child in self.host_by_name.values():
             child.wait_until_started()
         self.publish_hosts()
+        for name in self.host_by_name:
+            self._wait_until_ready(name)
 
     def close(self) -> None:
         """Kill every process and delete the temporary files."""
@@ -123,6 +128,14 @@
         child.wait_until_started()
         return child
 
+    def _wait_until_ready(self, name: str) -> None:
+        """Wait until a host has read the configuration; raise TimeoutError if late."""
+        timeout_at = time.monotonic() + READINESS_TIMEOUT_SECONDS
+        while not self.http.get(f"{self.host_url(name)}/health").is_success:
+            if time.monotonic() > timeout_at:
+                raise TimeoutError(f"{name} has not read the configuration")
+            time.sleep(READINESS_CHECK_INTERVAL_SECONDS)
+
     def _start_host_process(self, name: str, number: int) -> ChildProcess:
         settings_file = Path(self._directory.name) / f"{name}.ini"
         settings_file.write_text(self._host_settings(name, number))
