Let a test's client be cut off while it still sends

Cause: the host may answer a broken request and close before the client has sent all, and the kernel then resets the connection; the client's next call fails with ENOTCONN, ECONNRESET or EPIPE, which the test took for its own failure. The check was wrong, as the host did what the test asks for; what it asks stands: no success as reply, an end within 10 s, and the next search is complete. Any other error, a time-out too, still fails.

--- a/packages/standins/crocusbay_standins/tests/test_callers.py
+++ b/packages/standins/crocusbay_standins/tests/test_callers.py
@@ -1,3 +1,4 @@
+import errno
 import socket
 import time
 
@@ -9,6 +10,7 @@
 
 BASE = "/deployments/hemtape"
 ORDERS = f"{BASE}/services/orders/orders"
+CONNECTION_ENDED_ERRORS = {errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE}
 
 
 def send_request(cluster, method, path, content=b""):
@@ -76,12 +78,16 @@
 )
 def test_broken_http_ends_its_own_connection_alone(small_cluster, data):
     address = small_cluster.host_by_name["host-1"].startup_info["caller_address"]
+    reply = b""
     with socket.create_connection(split_address(address), timeout=10) as stream:
-        stream.sendall(data)
-        stream.shutdown(socket.SHUT_WR)
-        reply = b""
-        while part := stream.recv(4096):
-            reply += part
+        try:
+            stream.sendall(data)
+            stream.shutdown(socket.SHUT_WR)
+            while part := stream.recv(4096):
+                reply += part
+        except OSError as error:
+            # The host may end the connection before the client has sent all.
+            assert error.errno in CONNECTION_ENDED_ERRORS
     assert reply == b"" or reply.startswith((b"HTTP/1.1 4", b"HTTP/1.0 4"))
     assert send_request(small_cluster, "GET", f"{BASE}/search?q=a").json()[
         "is_complete"
