Let a view's cursor cover only the changes that the view holds

What callers could see: requests on removed routes reach servers that left long ago. Cause: hosts fetch a peer's view if its revision is higher, and the revision was that of the newest entry. Two kinds of change came below it afterwards and were never fetched: a removal that had been delayed, if the store changed nothing since; and a change between two pages of a list, whose second page held a later one. Change: the revision covers what is complete, and a count of late removals goes with it; a view is fetched from its revision on, not after it. Evidence: two new tests fail on the code before.

--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -135,7 +135,8 @@
                 None,
                 now - status.configuration_age - PEER_DELAY_SECONDS,
             )
-        if status.servers_revision > self._servers.revision:
+        cursor = status.servers_revision, status.servers_late_removals
+        if cursor > self._servers.cursor:
             is_behind = True
         elif self._servers.seen_revision:
             self._servers.confirm(
@@ -157,7 +158,7 @@
         finally:
             self._is_fetching = False
         now = self._timers.now()
-        previous_revisions = (self._configuration.revision, self._servers.revision)
+        previous = self._configuration.revision, self._servers.cursor
         self._configuration.update(
             response.configuration_revision,
             response.configuration,
@@ -166,11 +167,11 @@
         if response.servers_seen_revision:
             self._servers.merge(
                 response.servers,
-                response.servers_revision,
+                (response.servers_revision, response.servers_late_removals),
                 response.servers_seen_revision,
                 now - response.servers_age - PEER_DELAY_SECONDS,
             )
-        if previous_revisions != (self._configuration.revision, self._servers.revision):
+        if previous != (self._configuration.revision, self._servers.cursor):
             self.send_heartbeat()
 
     def _answer_view_query(self, query: ViewQuery) -> ViewResponse:
@@ -183,7 +184,8 @@
             self._servers.seen_revision,
             self._servers.age(now),
             self._configuration.configuration if is_newer else None,
-            self._servers.changed_after(query.servers_revision),
+            self._servers.changed_since(query.servers_revision),
+            self._servers.cursor[1],
         )
 
     async def maintain_host_list(self, store: Store) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -165,17 +165,18 @@
 
     async def _poll_servers(self) -> None:
         view = self._servers
-        previous_revision = view.revision
+        previous_cursor = view.cursor
         confirmed_at = self._timers.now()
         if not view.seen_revision:
             change = await self._store.list_servers()
-            view.replace_all(change.entries, change.seen_revision, confirmed_at)
+            apply = view.replace_all
         else:
             try:
                 change = await self._store.watch_servers(view.seen_revision)
-                view.update(change.entries, change.seen_revision, confirmed_at)
+                apply = view.update
             except RevisionExpiredError:
                 change = await self._store.list_servers()
-                view.replace_all(change.entries, change.seen_revision, confirmed_at)
-        if view.revision > previous_revision:
+                apply = view.replace_all
+        apply(change.entries, change.seen_revision, confirmed_at)
+        if view.cursor > previous_cursor:
             self._on_change("servers")
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -67,6 +67,7 @@
             servers_revision=self.servers.revision,
             servers_seen_revision=self.servers.seen_revision,
             servers_age=self.servers.age(now),
+            servers_late_removals=self.servers.cursor[1],
         )
 
     def add_contact(self, other):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -85,7 +85,7 @@
 def test_merged_view_keeps_its_age():
     first, second = ServersView(), ServersView()
     first.update([entry("x", 1), entry("y", 4)], 6, 50.0)
-    second.merge(first.changed_after(0), first.revision, first.seen_revision, 49.5)
+    second.merge(first.changed_since(0), first.cursor, first.seen_revision, 49.5)
     assert second.by_name == first.by_name
     assert second.age(51.0) == pytest.approx(1.5)
     # A view without the newest change of this one does not confirm it.
@@ -117,7 +117,47 @@
     view = ServersView()
     view.update([entry()], 1, 100.0)
     view.update([removed(revision=3)], 3, 110.0)
-    view.merge([removed(revision=9)], 9, 9, 113.0)
+    view.merge([removed(revision=9)], (9, 0), 9, 113.0)
     assert view.by_name["x"].is_removed
     view.confirm(revision=9, seen_revision=10, confirmed_at=114.0)
     assert view.seen_revision == 10
+
+
+def fetch(receiver, sender, now):
+    """Merge another host's view as hosts do, if the receiver is behind."""
+    if sender.cursor > receiver.cursor:
+        receiver.merge(
+            sender.changed_since(receiver.revision),
+            sender.cursor,
+            sender.seen_revision,
+            now,
+        )
+
+
+def test_delayed_removal_reaches_a_host_that_knows_the_later_changes():
+    """Simulate a store that changes nothing more after the delayed removal."""
+    first, second = ServersView(), ServersView()
+    first.update([entry("x", 1), entry("y", 2)], 2, 100.0)
+    fetch(second, first, 100.0)
+    changes = [removed("x", 3), entry("y", 4, is_draining=True)]
+    first.update(changes, 4, 110.0)
+    fetch(second, first, 110.0)
+    assert second.by_name["x"].is_usable
+    assert not second.by_name["y"].is_usable
+    for now in (111.0, 112.0, 113.0):
+        first.update([], 4, now)
+    assert first.by_name["x"].is_removed
+    fetch(second, first, 114.0)
+    assert second.by_name["x"].is_removed
+    assert second.cursor == first.cursor
+
+
+def test_change_during_a_list_reaches_hosts_that_know_a_later_one():
+    """Simulate a list in pages: y is on the second, x changes after the first."""
+    first, second = ServersView(), ServersView()
+    first.replace_all([entry("x", 2), entry("y", 9)], 5, 100.0)
+    fetch(second, first, 100.0)
+    assert second.by_name["y"].revision == 9
+    first.update([entry("x", 7, is_draining=True), entry("y", 9)], 9, 101.0)
+    fetch(second, first, 101.0)
+    assert not second.by_name["x"].is_usable
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -63,6 +63,8 @@
         self.revision = 0
         self.seen_revision = 0
         self.confirmed_at = float("-inf")
+        # Delayed removals that were applied since the newest change.
+        self._late_removals = 0
         self._removed_at_by_name: dict[str, float] = {}
         self._delayed_removals: dict[str, float] = {}
         self._removals_delayed_until = float("-inf")
@@ -76,8 +78,19 @@
         """Return the time since the store confirmed the view (seconds)."""
         return now - self.confirmed_at
 
+    @property
+    def cursor(self) -> tuple[int, int]:
+        """Return a value that is higher in views with more of the changes.
+
+        Consists of the revision and the number of delayed removals applied since then.
+        """
+        return self.revision, self._late_removals
+
     def replace_all(
-        self, entries: Iterable[ServerEntry], seen_revision: int, confirmed_at: float
+        self,
+        entries: Iterable[ServerEntry],
+        seen_revision: int,
+        confirmed_at: float,
     ) -> None:
         """Apply a full list from the store; servers missing from it are removed."""
         listed = {entry.name: entry for entry in entries}
@@ -86,10 +99,17 @@
             for name, entry in self.by_name.items()
             if name not in listed and not entry.is_removed
         ]
-        self.update([*listed.values(), *missing], seen_revision, confirmed_at)
+        self.update(
+            [*listed.values(), *missing],
+            seen_revision,
+            confirmed_at,
+        )
 
     def update(
-        self, entries: Iterable[ServerEntry], seen_revision: int, confirmed_at: float
+        self,
+        entries: Iterable[ServerEntry],
+        seen_revision: int,
+        confirmed_at: float,
     ) -> None:
         """Apply changes that make the view complete up to a store revision.
 
@@ -112,24 +132,27 @@
                 changed.append(entry)
         self.seen_revision = max(self.seen_revision, seen_revision)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        changed += self._pop_due_removals(confirmed_at)
-        self._apply(changed, confirmed_at)
+        self._apply(changed, seen_revision, confirmed_at)
+        self._apply_due_removals(confirmed_at)
 
     def merge(
         self,
         entries: Iterable[ServerEntry],
-        revision: int,
+        cursor: tuple[int, int],
         seen_revision: int,
         confirmed_at: float,
     ) -> None:
-        """Apply another host's entries that are newer than this view's revision."""
+        """Apply the entries by which another host's view is ahead of this one."""
+        revision, late_removals = cursor
         changed = []
         for entry in entries:
             known = self.by_name.get(entry.name)
             if known is None or _replaces(entry, known):
                 changed.append(entry)
-        self._apply(changed, confirmed_at)
+        self._apply(changed, revision, confirmed_at)
         self.confirm(revision, seen_revision, confirmed_at)
+        if self.revision == revision:
+            self._late_removals = max(self._late_removals, late_removals)
 
     def confirm(self, revision: int, seen_revision: int, confirmed_at: float) -> None:
         """Record that another host's view of a revision was complete at `confirmed_at`.
@@ -138,34 +161,49 @@
         have read that the entries were written again, which does not change its view.
         """
         if seen_revision >= self.revision:
-            self.revision = max(self.revision, revision)
+            self._advance(revision)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if not self._delayed_removals:
                 self.seen_revision = max(self.seen_revision, seen_revision)
 
-    def changed_after(self, revision: int) -> tuple[ServerEntry, ...]:
-        """Return the entries with a change after a revision."""
+    def changed_since(self, revision: int) -> tuple[ServerEntry, ...]:
+        """Return the entries with a change at a revision or after it."""
         return tuple(
-            entry for entry in self.by_name.values() if entry.revision > revision
+            entry for entry in self.by_name.values() if entry.revision >= revision
         )
 
-    def _pop_due_removals(self, now: float) -> list[ServerEntry]:
+    def _advance(self, revision: int) -> None:
+        if revision > self.revision:
+            self.revision = revision
+            self._late_removals = 0
+
+    def _apply_due_removals(self, now: float) -> None:
+        """Apply removals whose delay is over, as changes at the newest revision.
+
+        Other hosts may know the other changes up to there already.
+        """
         if now < self._removals_delayed_until or not self._delayed_removals:
-            return []
+            return
         removed = [
             ServerEntry(name, self.seen_revision, is_removed=True)
             for name in self._delayed_removals
         ]
         self._delayed_removals.clear()
-        return removed
+        previous_revision = self.revision
+        self._apply(removed, self.seen_revision, now)
+        if self.revision == previous_revision:
+            self._late_removals += 1
 
-    def _apply(self, changed: list[ServerEntry], now: float) -> None:
+    def _apply(
+        self, changed: list[ServerEntry], complete_revision: int, now: float
+    ) -> None:
+        """Apply changes; those after `complete_revision` may not be all there are."""
         if not changed:
             return
         for entry in changed:
             self.by_name[entry.name] = entry
             self._delayed_removals.pop(entry.name, None)
-            self.revision = max(self.revision, entry.revision)
+            self._advance(min(entry.revision, complete_revision))
             if entry.is_removed:
                 self._removed_at_by_name[entry.name] = now
             else:
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -281,6 +281,7 @@
             servers_revision=self.servers.revision,
             servers_seen_revision=self.servers.seen_revision,
             servers_age=self.servers.age(now),
+            servers_late_removals=self.servers.cursor[1],
         )
 
     async def _send_heartbeats(self) -> None:
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -41,14 +41,18 @@
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
-    """Request the state that is newer than the given revisions."""
+    """Request the configuration after a revision, and server changes since another."""
 
     configuration_revision: int = 0
     servers_revision: int = 0
 
 
 class ViewResponse(msgspec.Struct, frozen=True, array_like=True):
-    """Return the state that is newer than the requested revisions (ages: seconds)."""
+    """Return the requested state (ages: seconds).
+
+    `servers_late_removals` counts removals applied after all other changes up to
+    `servers_revision`.
+    """
 
     configuration_revision: int
     configuration_age: float
@@ -57,3 +61,4 @@
     servers_age: float
     configuration: Configuration | None = None
     servers: tuple[ServerEntry, ...] = ()
+    servers_late_removals: int = 0
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -11,7 +11,8 @@
     processing and transfer time for one request to 100 shards. `*_revision` is the
     store revision of the data that the host has, and `*_age` the time since the store
     last confirmed it. `servers_seen_revision` is the store revision up to which the
-    server list is complete.
+    server list is complete. `servers_late_removals` counts removals applied after all
+    other changes up to `servers_revision`.
     """
 
     name: str
@@ -30,6 +31,7 @@
     servers_revision: int = 0
     servers_seen_revision: int = 0
     servers_age: float = 1e9
+    servers_late_removals: int = 0
 
     def is_newer_than(self, other: "HostStatus") -> bool:
         """Return whether this status supersedes the other one."""
