Delay removals after an outage of the store only, not after a gap in polling

What callers could see: requests reach servers later than allowed after they left. Cause: a host whose view is older than 1.6 s took that for an outage of the store and kept removed servers for 2.2 s. The next host in rank takes over polling only once its view is 1.75 s old, so each take-over looked like an outage; with the poll interval that is 3.0 s and more, the bound. Change: a removal is delayed if calls of this host failed or took over a second since the view was confirmed, or after 3 s without any confirmation. Before: the new case of test_views.py fails (removal without an outage is delayed). After: it passes. Ruled out: a shorter delay; servers need two seconds to write their entries.

--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -25,6 +25,8 @@
 IDLE_CHECK_SECONDS = 0.1
 # Allows a host that has just started to receive heartbeats before its first poll.
 STARTUP_DELAY_SECONDS = 0.2
+# A poll that took longer was answered at a later attempt, after an outage.
+OVERDUE_POLL_SECONDS = 1.0
 RETRY_SECONDS = 0.3
 MAX_RETRY_SECONDS = 0.6
 # Number of hosts that poll once their view is stale: enough that one of them probably
@@ -81,6 +83,7 @@
         self._consecutive_failures = 0
         self._is_store_lost = False
         self._last_call_at = float("-inf")
+        self._last_failure_at = float("-inf")
 
     @property
     def reaches_store(self) -> bool:
@@ -128,6 +131,7 @@
             await poll()
         except StoreUnavailableError as error:
             self._last_call_at = self._timers.now()
+            self._last_failure_at = self._last_call_at
             self._consecutive_failures += 1
             if not self._is_store_lost:
                 self._is_store_lost = True
@@ -177,6 +181,14 @@
             except RevisionExpiredError:
                 change = await self._store.list_servers()
                 apply = view.replace_all
-        apply(change.entries, change.seen_revision, confirmed_at)
+        now = self._timers.now()
+        if now - confirmed_at > OVERDUE_POLL_SECONDS:
+            self._last_failure_at = now
+        apply(
+            change.entries,
+            change.seen_revision,
+            confirmed_at,
+            has_failed_calls=self._last_failure_at > view.confirmed_at,
+        )
         if view.cursor > previous_cursor:
             self._on_change("servers")
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -3,6 +3,7 @@
 from crocusbay_gateway.coordination.views import (
     OUTAGE_AGE_SECONDS,
     REMOVAL_DELAY_SECONDS,
+    UNPOLLED_AGE_SECONDS,
     ConfigurationView,
     ServersView,
 )
@@ -53,20 +54,25 @@
 
 
 @pytest.mark.parametrize(
-    ("gap", "after", "is_present"),
+    ("gap", "has_failed_calls", "after", "is_present"),
     [
         # Without an outage, a removal is applied at once.
-        (0.5, 0.0, False),
+        (0.5, False, 0.0, False),
+        (0.5, True, 0.0, False),
+        # No host polled for a while, but the store did not fail.
+        (OUTAGE_AGE_SECONDS + 1, False, 0.0, False),
         # After an outage, the server has time to write its entry again.
-        (OUTAGE_AGE_SECONDS + 1, 0.0, True),
-        (OUTAGE_AGE_SECONDS + 1, REMOVAL_DELAY_SECONDS + 0.1, False),
+        (OUTAGE_AGE_SECONDS + 1, True, 0.0, True),
+        (OUTAGE_AGE_SECONDS + 1, True, REMOVAL_DELAY_SECONDS + 0.1, False),
+        (UNPOLLED_AGE_SECONDS + 1, False, 0.0, True),
+        (UNPOLLED_AGE_SECONDS + 1, False, REMOVAL_DELAY_SECONDS + 0.1, False),
     ],
 )
-def test_removals_after_an_outage_are_delayed(gap, after, is_present):
+def test_removals_after_an_outage_are_delayed(gap, has_failed_calls, after, is_present):
     view = ServersView()
     view.update([entry()], 1, 100.0)
     outage_end = 100.0 + gap
-    view.replace_all([], 5, outage_end)
+    view.replace_all([], 5, outage_end, has_failed_calls=has_failed_calls)
     if after:
         for step in range(10):
             view.update([], 6 + step, outage_end + after * (step + 1) / 10)
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -14,6 +14,8 @@
 REMOVAL_DELAY_SECONDS = 2.2
 # A view confirmed no longer ago than this has not missed an outage of the store.
 OUTAGE_AGE_SECONDS = 1.6
+# After this time an outage is assumed, even if no call of this host has failed.
+UNPOLLED_AGE_SECONDS = 3.0
 # Entries of removed servers are kept this long, for other hosts to receive them.
 TOMBSTONE_SECONDS = 120.0
 
@@ -91,6 +93,8 @@
         entries: Iterable[ServerEntry],
         seen_revision: int,
         confirmed_at: float,
+        *,
+        has_failed_calls: bool = False,
     ) -> None:
         """Apply a full list from the store; servers missing from it are removed."""
         listed = {entry.name: entry for entry in entries}
@@ -103,6 +107,7 @@
             [*listed.values(), *missing],
             seen_revision,
             confirmed_at,
+            has_failed_calls=has_failed_calls,
         )
 
     def update(
@@ -110,13 +115,17 @@
         entries: Iterable[ServerEntry],
         seen_revision: int,
         confirmed_at: float,
+        *,
+        has_failed_calls: bool = False,
     ) -> None:
         """Apply changes that make the view complete up to a store revision.
 
         After an outage, removals are delayed, since servers may not have had time to
-        write their entries again.
+        write their entries again. `has_failed_calls` is whether calls of this host
+        failed since the view was confirmed.
         """
-        if self.age(confirmed_at) > OUTAGE_AGE_SECONDS and self.by_name:
+        min_age = OUTAGE_AGE_SECONDS if has_failed_calls else UNPOLLED_AGE_SECONDS
+        if self.age(confirmed_at) > min_age and self.by_name:
             self._removals_delayed_until = confirmed_at + REMOVAL_DELAY_SECONDS
         changed = []
         for entry in entries:
