Cut off responses without end in the product's own transport too

Cause: as in the gateway, only the body was limited; a head or chunk extension without end was read until the deadline. Change: the whole response is limited to 4 MiB, its head to 64 KiB; the body's own check stands, in the gateway again as well. Before: the two new cases failed (no verdict within 5 s). After: they pass, with the others of both transports.

--- a/packages/core/crocusbay/transport/connection.py
+++ b/packages/core/crocusbay/transport/connection.py
@@ -34,6 +34,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024
 
 _REQUEST_HEADER = REQUEST_HEADER.encode()
 _CLOCK_HEADER = CLOCK_HEADER.encode()
@@ -119,7 +120,9 @@
         self._parser = httptools.HttpResponseParser(self)
         try:
             while True:
-                self._parser.feed_data(await self._stream.receive())
+                data = await self._stream.receive()
+                self._parser.feed_data(data)
+                self._check_size(len(data))
         except anyio.EndOfStream:
             self.close_cause = Cause.RESET
         except (httptools.HttpParserError, ProtocolError) as error:
@@ -128,12 +131,22 @@
                 Cause.RESPONSE_MISMATCH if is_mismatch else Cause.PROTOCOL
             )
 
+    def _check_size(self, added_bytes: int) -> None:
+        """Raise ProtocolError if the response in progress is too large."""
+        if self.current_exchange is None:
+            return
+        self._received_bytes += added_bytes
+        max_bytes = MAX_RESPONSE_BYTES if self._has_head else MAX_HEAD_BYTES
+        if self._received_bytes > max_bytes:
+            raise ProtocolError(f"response exceeds {max_bytes} bytes")
+
     def on_message_begin(self) -> None:
         """Reset the state for a new response (called by the parser)."""
         self._request_id = b""
         self._is_leaving = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._received_bytes = 0
+        self._has_head = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process one header (called by the parser)."""
@@ -152,6 +165,7 @@
         """Check that the response belongs to the request in flight."""
         if self.current_exchange is None:
             raise ResponseMismatchError("response received with no request in flight")
+        self._has_head = True
         expected = self.current_exchange.sub_request.request_id.encode()
         if self._request_id != expected:
             raise ResponseMismatchError(
@@ -160,10 +174,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk of the body (called by the parser)."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
+        self._body += body
+        if len(self._body) > MAX_RESPONSE_BYTES:
             raise ProtocolError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Deliver the verdict of the request in flight."""
@@ -171,8 +184,9 @@
         self.current_exchange = None
         self.last_response_at = self._now()
         self.response_count += 1
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        body = bytes(self._body)
         status = self._parser.get_status_code()
+        self._received_bytes = 0
         exchange.finish(_to_verdict(status, body, self._is_leaving))
         self._on_idle(self)
 
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -14,7 +14,7 @@
     Upstream,
 )
 from crocusbay.transport import Exchange, TimerService, UpstreamPool
-from crocusbay.transport.connection import MAX_RESPONSE_BYTES
+from crocusbay.transport.connection import MAX_HEAD_BYTES, MAX_RESPONSE_BYTES
 from crocusbay.transport.tests.scripted import (
     make_response,
     no_response,
@@ -66,6 +66,11 @@
 TRUNCATED = b"HTTP/1.1 200 -\r\ncrocusbay-request: r1\r\ncontent-length: 9\r\n\r\n"
 LEAVING = b"crocusbay-leaving: 1\r\n"
 OVERSIZED = b"x" * (MAX_RESPONSE_BYTES + 1)
+ENDLESS_HEADER = b"HTTP/1.1 200 -\r\nx-endless: " + b"x" * (2 * MAX_HEAD_BYTES)
+ENDLESS_EXTENSION = (
+    b"HTTP/1.1 200 -\r\ncrocusbay-request: r1\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"5;" + b"x" * (MAX_RESPONSE_BYTES + MAX_HEAD_BYTES)
+)
 
 
 @pytest.mark.parametrize(
@@ -101,6 +106,9 @@
         (make_response(request=b"r0"), False, MayHaveRun(Cause.RESPONSE_MISMATCH)),
         (make_response(request=b""), False, MayHaveRun(Cause.RESPONSE_MISMATCH)),
         (make_response(body=OVERSIZED), False, MayHaveRun(Cause.PROTOCOL)),
+        # These have no end, so that the stand-in sends only a part.
+        (raw(ENDLESS_HEADER), False, MayHaveRun(Cause.PROTOCOL)),
+        (raw(ENDLESS_EXTENSION), False, MayHaveRun(Cause.PROTOCOL)),
     ],
 )
 async def test_response_becomes_verdict(script, closing, expected):
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -228,6 +228,8 @@
         if self._has_extra_data:
             return
         self._body += body
+        if len(self._body) > MAX_RESPONSE_BYTES:
+            raise ValueError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
 
     def on_message_complete(self) -> None:
         """Mark a final response as complete (called by the parser)."""
