End a quarantine in the product's own interface in spite of reports between hosts

What callers saw: a search or document refused long after the two minutes were over, as hosts reported expired crashes to each other, each of which counted anew. Change: a report carries the crash's age, and expired crashes are neither reported nor recorded. Before: the new test fails, both hosts refuse after the retention. Hosts of both versions understand each other: the age is optional. Left: this quarantine counts a server once per name and does not outlast all hosts.

--- a/packages/core/crocusbay/coordination/quarantine.py
+++ b/packages/core/crocusbay/coordination/quarantine.py
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class _Crashes:
-    upstreams: set[str]
+    crashed_at_by_upstream: dict[str, float]
     expires: float
 
 
@@ -43,16 +43,20 @@
     def record_crash(self, crash: CrashReport) -> bool:
         """Record a crash of one server; return whether it was not known yet."""
         key = (crash.fingerprint, crash.service)
+        crashed_at = self._now() - crash.age_ms / 1000
+        expires = crashed_at + CRASH_RETENTION_SECONDS
+        if expires < self._now():
+            return False
         entry = self._crashes_by_key.get(key)
         if entry is None or entry.expires < self._now():
-            entry = _Crashes(set(), self._now() + CRASH_RETENTION_SECONDS)
+            entry = _Crashes({}, expires)
             self._crashes_by_key[key] = entry
             self._crashes_by_key.move_to_end(key)
-        is_new = crash.upstream not in entry.upstreams
-        entry.upstreams.add(crash.upstream)
+        is_new = crash.upstream not in entry.crashed_at_by_upstream
+        entry.crashed_at_by_upstream.setdefault(crash.upstream, crashed_at)
         while len(self._crashes_by_key) > MAX_FINGERPRINTS:
             self._crashes_by_key.popitem(last=False)
-        if is_new and len(entry.upstreams) == CRASHES_TO_QUARANTINE:
+        if is_new and len(entry.crashed_at_by_upstream) == CRASHES_TO_QUARANTINE:
             for on_quarantine in self._subscribers:
                 on_quarantine()
         return is_new
@@ -62,7 +66,7 @@
         entry = self._crashes_by_key.get((fingerprint, service))
         if entry is None or entry.expires < self._now():
             return False
-        return len(entry.upstreams) >= CRASHES_TO_QUARANTINE
+        return len(entry.crashed_at_by_upstream) >= CRASHES_TO_QUARANTINE
 
     def clear(self, fingerprint: str, service: str) -> None:
         """Drop the crashes recorded for a request that the service has answered."""
@@ -70,10 +74,14 @@
 
     def recent_crashes(self) -> tuple[CrashReport, ...]:
         """Return the most recent crashes, to be sent to other hosts."""
+        now = self._now()
         crashes: list[CrashReport] = []
         for (fingerprint, service), entry in reversed(self._crashes_by_key.items()):
+            if entry.expires < now:
+                continue
             crashes += [
-                CrashReport(fingerprint, service, name) for name in entry.upstreams
+                CrashReport(fingerprint, service, name, int((now - crashed_at) * 1000))
+                for name, crashed_at in entry.crashed_at_by_upstream.items()
             ]
             if len(crashes) >= MAX_SHARED_CRASHES:
                 break
--- a/packages/core/crocusbay/coordination/tests/test_policies.py
+++ b/packages/core/crocusbay/coordination/tests/test_policies.py
@@ -146,6 +146,23 @@
     assert notifications == ["quarantined"]
 
 
+def test_quarantine_ends_although_hosts_report_the_crashes_to_each_other():
+    clock = FakeClock()
+    first, second = Quarantine(clock), Quarantine(clock)
+    for upstream in ("price.1", "price.2"):
+        first.record_crash(CrashReport("bad", "price", upstream))
+    while clock.seconds <= CRASH_RETENTION_SECONDS:
+        for sender, receiver in ((first, second), (second, first)):
+            for crash in sender.recent_crashes():
+                receiver.record_crash(crash)
+            assert receiver.is_quarantined("bad", "price")
+        clock.seconds += 10.0
+    for sender, receiver in ((first, second), (second, first)):
+        for crash in sender.recent_crashes():
+            receiver.record_crash(crash)
+        assert not receiver.is_quarantined("bad", "price")
+
+
 def test_quarantine_is_shared_and_bounded():
     quarantine, other = Quarantine(FakeClock()), Quarantine(FakeClock())
     for number in range(MAX_FINGERPRINTS + 10):
--- a/packages/core/crocusbay/protocol/peer.py
+++ b/packages/core/crocusbay/protocol/peer.py
@@ -8,11 +8,12 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, tag=False):
-    """Report that a request crashed one server of a service."""
+    """Report that a request crashed one server of a service, `age_ms` ago."""
 
     fingerprint: str
     service: str
     upstream: str
+    age_ms: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
