--- a/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
@@ -1,9 +1,12 @@
+import anyio
 import pytest
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
+from crocusbay_gateway.transport import Listening
 from crocusbay_gateway.transport.tests.scripted import (
     END,
     RESET,
+    TIMEOUT_SECONDS,
     ok_response,
     open_pool,
     send_request,
@@ -110,3 +113,19 @@
         for _ in range(3):
             assert not isinstance(await send_request(pool, timers, seconds=0.05), Ran)
         assert pool.open_connections <= 2
+
+
+@pytest.mark.parametrize(
+    ("is_listening", "expected"),
+    [(True, Listening.ACCEPTED), (False, Listening.REFUSED)],
+)
+async def test_check_tells_whether_the_server_still_listens(is_listening, expected):
+    async with open_pool((), connection_limit=1) as (_, pool, _):
+        if not is_listening:
+            pool.address = "127.0.0.1:1"
+        results = []
+        pool.check_listening(results.append)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not results:
+                await anyio.sleep(0.01)
+        assert results == [expected]
