Ask a server whether it listens although other connections are being opened

Cause, found by reading: a check after a reset took a pool whose connection attempts use up the limit for one with open connections, so a crash while requests wait for connections to the dead server did not count. Change: only open connections show that the server runs. Also forget crashes that this host observed once their record is dropped. Before and after: no test of the race itself, which needs connection attempts pending for 10 ms; the gateway's tests and the 31 cases of test_crashing_request.py pass.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -107,8 +107,8 @@
     def pop_expired(self) -> list[str]:
         """Delete the records whose retention has ended; return their fingerprints."""
         expired = self.quarantine.pop_expired(self.now())
-        self._observed.difference_update(expired)
         self._unsaved.difference_update(expired)
+        self._observed.intersection_update(self.quarantine.fingerprints)
         return expired
 
 
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -6,6 +6,7 @@
 
 import random
 from collections import OrderedDict, defaultdict
+from collections.abc import KeysView
 from dataclasses import dataclass, field, replace
 
 import xxhash
@@ -112,6 +113,11 @@
         self._shared_until: OrderedDict[str, float] = OrderedDict()
         self._quarantined: OrderedDict[str, None] = OrderedDict()
 
+    @property
+    def fingerprints(self) -> KeysView[str]:
+        """Return the fingerprints of the requests with known crashes."""
+        return self._by_fingerprint.keys()
+
     def record_crash(self, fingerprint: str, crash: Crash, now: float) -> bool:
         """Record a crash; return whether the request is quarantined further by it."""
         if crash.crashed_at + CRASH_RETENTION_SECONDS < now:
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -117,7 +117,7 @@
         )
 
     def _check_listening(self, on_result: Callable[[Listening], None]) -> None:
-        if self.open_connections >= self.connection_limit:
+        if len(self._open) >= self.connection_limit:
             on_result(Listening.ACCEPTED)
             return
 
