--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
@@ -31,6 +31,17 @@
     return msgspec.structs.replace(entry, revision=2, is_draining=True)
 
 
+async def forward(gateway, request, max_attempts):
+    """Return the reply to a request that goes to service s."""
+    route = make_route(ToService("s"), max_attempts=max_attempts)
+    latency = RouteLatency(route.latency_goal)
+    handler = ForwardHandler(
+        gateway.context, request, route, "s", latency, request.deadline
+    )
+    reply, _ = await run_to_completion(gateway, handler)
+    return reply
+
+
 @pytest.mark.parametrize(
     ("script", "pause", "changes", "is_crash"),
     [
@@ -54,16 +65,7 @@
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
     gateway.set_script("s-1", **script)
     request = make_request(gateway, deadline=0.5)
-    route = make_route(ToService("s"), max_attempts=1)
-    handler = ForwardHandler(
-        gateway.context,
-        request,
-        route,
-        "s",
-        RouteLatency(route.latency_goal),
-        request.deadline,
-    )
-    await run_to_completion(gateway, handler)
+    await forward(gateway, request, max_attempts=1)
     await gateway.timers.advance(pause)
     (server,) = gateway.registry.by_service["s"]
     for change in changes:
@@ -78,16 +80,6 @@
     first = gateway.registry.choose_server("s").entry.name
     gateway.set_script(first, verdict=RESET, listening=Listening.REFUSED)
     request = make_request(gateway)
-    route = make_route(ToService("s"))
-    handler = ForwardHandler(
-        gateway.context,
-        request,
-        route,
-        "s",
-        RouteLatency(route.latency_goal),
-        request.deadline,
-    )
-    reply, _ = await run_to_completion(gateway, handler)
-    assert reply.status == 200
+    assert (await forward(gateway, request, max_attempts=2)).status == 200
     monitor = gateway.context.crash_monitor
     assert not monitor.quarantine.crashes(monitor.track(request).fingerprint)
