Log that crashes are cleared only if a response affects any

Cause: with one shard's crash on record, the response of every other shard logged crashes-cleared, up to 49 lines a gather, as the count was that of all crashes known. Change: the count is that of crashes whose weight changes. What is refused, sent or counted does not change. Before: the new line of test_quarantine.py failed. After: the gateway's tests pass.

--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -141,20 +141,22 @@
         return not record.quarantined_services <= services
 
     def record_response(self, fingerprint: str, service: str, now: float) -> int:
-        """Record that a server ran a request; return the number of crashes before."""
+        """Record that a server ran a request; return how many crashes this affects."""
         record = self._by_fingerprint.get(fingerprint)
         if record is None:
             return 0
-        crash_count = len(record.crash_by_server)
+        previous = record.crash_by_server
         record.responded_at_by_service[service] = now
         record.crash_by_server = {
             key: replace(crash, is_unanswered=False)
-            for key, crash in record.crash_by_server.items()
+            for key, crash in previous.items()
             if crash.service != service
         }
         if not record.quarantined_services:
             self._quarantined.pop(fingerprint, None)
-        return crash_count
+        return sum(
+            record.crash_by_server.get(key) != crash for key, crash in previous.items()
+        )
 
     def is_quarantined(
         self, fingerprint: str, now: float, service: str = ALL_SERVICES
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
@@ -66,6 +66,8 @@
     crashes = [("s", name, 1, True) for name in "abc"] + [("t", "d", 1, True)]
     add_crashes(quarantine, "f", *crashes)
     assert quarantine.record_response("f", "s", NOW + 1.0) == len(crashes)
+    # Responses of the other shards of a gather affect nothing more.
+    assert quarantine.record_response("f", "u", NOW + 1.0) == 0
     # Reports of other hosts may arrive later than the response.
     add_crashes(quarantine, "f", *crashes)
     assert not quarantine.is_quarantined("f", NOW + 1.0, "s")
