Log the limits that servers state, and count attempts to such servers

A response now carries the limit that its server states; each change is logged (server-limit), and attempts to such servers are counted by reason (crocusbay_gateway_limited_attempts). No decision depends on it yet.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -234,12 +234,12 @@
             channel.close()
 
     def _finish(self, exchange: Exchange, verdict: Verdict) -> None:
-        verdict = self._detect_not_run(verdict)
+        verdict = self._interpret_response(verdict)
         self._record_verdict(exchange, verdict)
         self._on_verdict(self, verdict)
 
     def _finish_abandoned(self, exchange: Exchange, verdict: Verdict) -> None:
-        self._record_verdict(exchange, self._detect_not_run(verdict))
+        self._record_verdict(exchange, self._interpret_response(verdict))
 
     def _record_verdict(self, exchange: Exchange, verdict: Verdict) -> None:
         """Update the health of the server and the latency of the route."""
@@ -266,7 +266,7 @@
             case MayHaveRun(Cause.SILENT):
                 self._crashes.suspect_silence(self.server)
 
-    def _detect_not_run(self, verdict: Verdict) -> Verdict:
+    def _interpret_response(self, verdict: Verdict) -> Verdict:
         """Return the verdict, or `NotRun` if the response states that nothing ran."""
         if not isinstance(verdict, Ran):
             return verdict
@@ -274,6 +274,9 @@
         conventions = self._context.conventions
         if response.status == conventions.wrong_server_status:
             return NotRun(Cause.LEAVING)
+        # A relay returns only the records and the signature of a response.
+        if self.exchange.server_time is None:
+            self._context.server_limits.record_response(self.server, response)
         not_run_header = conventions.not_run.lower()
         if any(name.lower() == not_run_header for name, _ in response.headers):
             return NotRun(Cause.SHED, detail=f"status {response.status}")
@@ -316,6 +319,7 @@
             return None
         history.record_send(server)
         self.context.metrics.attempts.inc(reason)
+        self.context.server_limits.record_send(server, reason)
         return Attempt(
             self.context,
             self.request,
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -7,6 +7,7 @@
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.health import ServerHealth
 from crocusbay_gateway.coordination.retry_budget import RetryBudget
+from crocusbay_gateway.coordination.stated_limit import StatedLimit
 from crocusbay_gateway.protocol import HttpConventions
 from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
 from crocusbay_gateway.transport import ReceiveBudget, ServerPool
@@ -36,6 +37,7 @@
     pool: ServerPool
     health: ServerHealth
     is_remote: bool
+    limit: StatedLimit | None = None
     _end_listeners: deque[tuple[float, Callable[[], None]]] = field(
         default_factory=lambda: deque(maxlen=MAX_END_LISTENERS)
     )
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -15,6 +15,7 @@
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
+from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol.tests.http_conventions import HTTP_CONVENTIONS
@@ -83,6 +84,7 @@
     status: int = 200
     headers: tuple = ()
     body: bytes = b"r" * 16
+    stated_limit: bytes = b""
     listening: Listening = Listening.ACCEPTED
 
 
@@ -131,9 +133,15 @@
         if script.verdict == "answer":
             signature = f"sig-{self.name}".encode()
             headers = ((HTTP_CONVENTIONS.signature, signature), *script.headers)
-            exchange.finish(
-                Ran(ServerResponse(script.status, b"", headers, script.body, signature))
+            response = ServerResponse(
+                script.status,
+                b"",
+                headers,
+                script.body,
+                signature,
+                script.stated_limit,
             )
+            exchange.finish(Ran(response))
         else:
             exchange.finish(script.verdict)
 
@@ -170,6 +178,7 @@
             self.timers,
             self.registry,
             CrashMonitor(Quarantine(), log, metrics, self.timers),
+            ServerLimits(log, metrics, self.timers),
             log,
             metrics,
             RelayClients(membership, self.timers, log, None),
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -22,6 +22,7 @@
 from crocusbay_gateway.coordination.quarantine_store import QuarantineStore
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
+from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.store import Store
 from crocusbay_gateway.coordination.store_watcher import StoreWatcher
@@ -146,6 +147,7 @@
         self.crash_monitor = CrashMonitor(
             Quarantine(), self.log, self.metrics, self.timers
         )
+        self.server_limits = ServerLimits(self.log, self.metrics, self.timers)
         self.quarantine_store = QuarantineStore(
             self.crash_monitor,
             self.membership,
@@ -159,6 +161,7 @@
             self.timers,
             self.registry,
             self.crash_monitor,
+            self.server_limits,
             self.log,
             self.metrics,
             RelayClients(self.membership, self.timers, self.log, tasks.start_soon),
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -101,6 +101,11 @@
             "Requests sent to servers: first, hedge or retry",
             "reason",
         )
+        self.limited_attempts = LabelledValue(
+            "crocusbay_gateway_limited_attempts",
+            "Requests sent to servers that state a limit: first, hedge, retry, relayed",
+            "reason",
+        )
         self.attempt_failures = LabelledValue(
             "crocusbay_gateway_attempt_failures", "Failed attempts", "cause"
         )
@@ -145,6 +150,7 @@
 
         for metric, family_class in (
             (self.attempts, CounterMetricFamily),
+            (self.limited_attempts, CounterMetricFamily),
             (self.attempt_failures, CounterMetricFamily),
             (self.server_crashes, CounterMetricFamily),
             (self.quarantines, CounterMetricFamily),
--- a/packages/gateway/crocusbay_gateway/protocol/http_conventions.py
+++ b/packages/gateway/crocusbay_gateway/protocol/http_conventions.py
@@ -8,7 +8,8 @@
     """Define the header names of a platform, in the case used on the wire.
 
     `wrong_server_status` is the status by which a server reports that the request was
-    meant for another server.
+    meant for another server. `stated_limit` is the header by which a server states the
+    requests per second that it takes from all hosts together.
     """
 
     attempt_id: bytes
@@ -16,6 +17,7 @@
     signature: bytes
     expected_server: bytes
     not_run: bytes
+    stated_limit: bytes
     shard_signatures: bytes
     missing_shards: bytes
     wrong_server_status: int
--- a/packages/gateway/crocusbay_gateway/protocol/tests/http_conventions.py
+++ b/packages/gateway/crocusbay_gateway/protocol/tests/http_conventions.py
@@ -8,6 +8,7 @@
     signature=b"X-Signature",
     expected_server=b"X-Expected",
     not_run=b"X-Not-Run",
+    stated_limit=b"X-Limit",
     shard_signatures=b"X-Parts",
     missing_shards=b"X-Missing",
     wrong_server_status=421,
--- a/packages/gateway/crocusbay_gateway/state/request.py
+++ b/packages/gateway/crocusbay_gateway/state/request.py
@@ -32,13 +32,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerResponse:
-    """Describe a complete response; `signature` proves which server executed it."""
+    """Describe a complete response; `signature` proves which server executed it.
+
+    `stated_limit` is the limit that the server states, or empty if it states none.
+    """
 
     status: int
     reason: bytes
     headers: Headers
     body: bytes
     signature: bytes = b""
+    stated_limit: bytes = b""
 
     @property
     def is_success(self) -> bool:
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -105,6 +105,7 @@
         self,
         attempt_header: bytes,
         signature_header: bytes,
+        limit_header: bytes,
         on_idle: Callable[["ServerConnection"], None],
         on_lost: Callable[["ServerConnection"], None],
         now: Callable[[], float],
@@ -118,6 +119,7 @@
         self.timer: Timer | None = None
         self._attempt_header = attempt_header.lower()
         self._signature_header = signature_header.lower()
+        self._limit_header = limit_header.lower()
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._now = now
@@ -220,6 +222,8 @@
                 self._check_attempt(value)
             elif lower == self._signature_header:
                 self._signature = value
+            elif lower == self._limit_header:
+                self._stated_limit = value
             elif lower == b"keep-alive":
                 self._parse_keep_alive(value)
 
@@ -245,6 +249,7 @@
         self._status = 0
         self._reason = b""
         self._signature = b""
+        self._stated_limit = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
 
@@ -291,6 +296,7 @@
             tuple(self._headers),
             bytes(self._body),
             self._signature,
+            self._stated_limit,
         )
         must_close = self._must_close or self._has_extra_data
         self.current_exchange = None
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -189,6 +189,7 @@
                     lambda: ServerConnection(
                         self._conventions.attempt_id,
                         self._conventions.signature,
+                        self._conventions.stated_limit,
                         self._on_idle,
                         self._on_lost,
                         self._timers.now,
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
@@ -129,3 +129,14 @@
             while not results:
                 await anyio.sleep(0.01)
         assert results == [expected]
+
+
+@pytest.mark.parametrize(
+    ("header", "stated"), [(b"", b""), (b"x-limit: 12.5\r\n", b"12.5")]
+)
+async def test_limit_that_a_server_states_is_in_its_response(header, stated):
+    script = (ok_response(extra=header), ok_response())
+    async with open_pool(script[:1], script[1:]) as (_, pool, timers):
+        first = await send_request(pool, timers)
+        second = await send_request(pool, timers)
+    assert [each.response.stated_limit for each in (first, second)] == [stated, b""]
