Test that servers get no more requests than they state to take

The emulated deployment of test_crashing_request.py moves to a module of its own, for both tests; the checks there are as before.

--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashing_request.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashing_request.py
@@ -2,70 +2,22 @@
 
 import asyncio
 import contextlib
-import random
 
 import pytest
 
-from crocusbay_gateway.state import Configuration
-from crocusbay_standins.emulator.hosts import EmulatedHost
-from crocusbay_standins.emulator.loop import VirtualClockLoop
-from crocusbay_standins.soak.callers import Caller, RequestKind
-from crocusbay_standins.soak.deployment import PATHS, make_routes, make_services
-from crocusbay_standins.soak.hosts import make_hosts
-from crocusbay_standins.soak.proxy import Proxy
-from crocusbay_standins.soak.servers import StandInServer
-from crocusbay_standins.soak.store import Outage, StandInStore
+from crocusbay_standins.emulator.tests.deployment import STABLE_SECONDS, Deployment
+from crocusbay_standins.soak.callers import RequestKind
+from crocusbay_standins.soak.store import Outage
 
 HOSTS = 3
-SERVERS_PER_SERVICE = 2
-# The platform's bounds: retries this long after the third crash, at most this many.
-STABLE_SECONDS = 4.0
+# The platform's bound on retries once the deployment is stable after the third crash.
 MAX_LATE_RETRIES = 3
 GATHER = "/all/crash"
 FETCH = "/one/crash"
 
 
-class Deployment:
-    """Emulated hosts and servers, and a caller that repeats requests."""
-
-    def __init__(self, folder, is_renamed_on_restart=True):
-        self.folder = folder
-        self.is_renamed_on_restart = is_renamed_on_restart
-        self.store = StandInStore(random.Random(1))
-        self.outcomes = []
-        self.received_requests = []
-
-    async def start(self):
-        address = await self.store.start()
-        self.store.put_configuration(Configuration(1, make_routes(0), make_services()))
-        self.servers = [
-            StandInServer(
-                f"{service.name}/{number}",
-                service.name,
-                "ab"[number],
-                self.store,
-                self.received_requests,
-                random.Random(f"{service.name} {number}"),
-                is_renamed_on_restart=self.is_renamed_on_restart,
-            )
-            for service in make_services()
-            for number in range(SERVERS_PER_SERVICE)
-        ]
-        for server in self.servers:
-            await server.start()
-        proxies = [Proxy(address) for _ in range(HOSTS)]
-        for proxy in proxies:
-            await proxy.start()
-        self.hosts = make_hosts(
-            EmulatedHost, HOSTS, ["a", "b"], self.folder, proxies, 1
-        )
-        for host in self.hosts:
-            host.start()
-        await asyncio.sleep(STABLE_SECONDS)
-        self.caller = self.make_caller()
-
-    def make_caller(self):
-        return Caller("c", self.hosts, self.outcomes, random.Random(1), PATHS)
+class CrashingDeployment(Deployment):
+    """Deployment whose caller repeats requests."""
 
     async def send_copies(self, targets, hosts=None, rounds=3):
         """Send each target to each host in turn, a second apart."""
@@ -77,14 +29,6 @@
                     )
                 await asyncio.sleep(1.0)
 
-    async def restart(self, hosts):
-        for host in hosts:
-            host.kill()
-        await asyncio.sleep(1.0)
-        for host in hosts:
-            host.start()
-        await asyncio.sleep(STABLE_SECONDS + 1.0)
-
     def late_retries(self, target):
         """Return how often the target was sent to servers after they should not be."""
         attempt_ids = {o.attempt_id for o in self.outcomes if o.path == target}
@@ -125,18 +69,6 @@
     await asyncio.sleep(STABLE_SECONDS + 2.0)
 
 
-@pytest.fixture
-def loop():
-    random_state = random.getstate()
-    random.seed(1)
-    loop = VirtualClockLoop(1)
-    asyncio.set_event_loop(loop)
-    yield loop
-    asyncio.set_event_loop(None)
-    loop.close()
-    random.setstate(random_state)
-
-
 @pytest.mark.parametrize("is_renamed_on_restart", [True, False], ids=["new", "same"])
 @pytest.mark.parametrize("target", [GATHER, FETCH, f"{GATHER}@shard1"])
 @pytest.mark.parametrize(
@@ -152,7 +84,9 @@
     loop, tmp_path, disrupt, target, is_renamed_on_restart
 ):
     async def main():
-        deployment = Deployment(tmp_path, is_renamed_on_restart)
+        deployment = CrashingDeployment(
+            tmp_path, is_renamed_on_restart=is_renamed_on_restart
+        )
         await deployment.start()
         await deployment.send_copies([target], rounds=2)
         await disrupt(deployment)
@@ -165,7 +99,7 @@
 @pytest.mark.parametrize("prefix", [GATHER, FETCH])
 def test_host_cut_off_during_the_crashes_learns_of_them(loop, tmp_path, prefix):
     async def main():
-        deployment = Deployment(tmp_path)
+        deployment = CrashingDeployment(tmp_path)
         await deployment.start()
         isolated, *others = deployment.hosts
         for other in others:
@@ -183,7 +117,7 @@
 @pytest.mark.parametrize("prefix", [GATHER, FETCH])
 def test_each_of_several_crashing_requests_is_reported(loop, tmp_path, prefix):
     async def main():
-        deployment = Deployment(tmp_path)
+        deployment = CrashingDeployment(tmp_path)
         await deployment.start()
         targets = [f"{prefix}-{number}" for number in range(6)]
         first, *others = deployment.hosts
@@ -203,7 +137,7 @@
     """Simulate a shard that does not respond, and a caller that doesn't wait for it."""
 
     async def main():
-        deployment = Deployment(tmp_path)
+        deployment = CrashingDeployment(tmp_path)
         await deployment.start()
         for _ in range(8):
             for server in deployment.servers:
@@ -229,7 +163,7 @@
     """Simulate servers that reset the connections of all requests, but keep running."""
 
     async def main():
-        deployment = Deployment(tmp_path)
+        deployment = CrashingDeployment(tmp_path)
         await deployment.start()
         for server in deployment.servers:
             server.behaviour.lost_share = 1.0
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -7,6 +7,7 @@
 
 from crocusbay_gateway.protocol import encode_reply
 from crocusbay_gateway.state import Reply, ServerEntry
+from crocusbay_gateway.state.request import Headers
 from crocusbay_platform.names import HTTP_CONVENTIONS
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.store import StandInStore, read_message
@@ -44,6 +45,8 @@
     failed_share: float = 0.0
     garbled_share: float = 0.0
     silent_share: float = 0.0
+    # Requests per second from all hosts together, as stated in the responses.
+    stated_limit: float | None = None
 
 
 def make_records(service: str, attempt_id: str) -> list[bytes]:
@@ -197,7 +200,7 @@
         await self.start()
 
     def _make_refusal(self, headers: dict[bytes, bytes]) -> Reply | None:
-        not_run = ((HTTP_CONVENTIONS.not_run, b"1"),)
+        not_run = ((HTTP_CONVENTIONS.not_run, b"1"), *self._limit_headers())
         if headers[HTTP_CONVENTIONS.expected_server.lower()] != self.name.encode():
             return Reply(HTTP_CONVENTIONS.wrong_server_status, not_run)
         is_full = self._pending_requests >= CONCURRENCY_LIMIT + QUEUE_LIMIT
@@ -218,6 +221,7 @@
         headers = (
             (HTTP_CONVENTIONS.attempt_id, attempt_id.encode()),
             (HTTP_CONVENTIONS.signature, make_signature(self.name, attempt_id)),
+            *self._limit_headers(),
         )
         data = encode_reply(Reply(status, headers, b"".join(records)))
         if self.rng.random() < behaviour.garbled_share:
@@ -231,6 +235,12 @@
             writer.write(data)
         return True
 
+    def _limit_headers(self) -> Headers:
+        limit = self.behaviour.stated_limit
+        if limit is None:
+            return ()
+        return ((HTTP_CONVENTIONS.stated_limit, str(limit).encode()),)
+
     def _record_request(self, attempt_id: str, *, has_run: bool) -> None:
         now = asyncio.get_running_loop().time()
         self.received_requests.append(
