Keep to the limits that servers state, over all hosts together

Ruled out: limits kept by each host alone, and excess by extras only, as no code used a limit. The class: what one host learns of a server is kept to that host, while what it says concerns all of them.

Change: each host paces its sends to such a server at its share of the limit by load. Hosts tell each other in heartbeats what servers stated, with its age, and the load of each data centre. The host that chooses a server paces the send, whoever carries it out. A request that the limits leave too few shards for is refused at once, with a time to return.

--- a/packages/core/crocusbay/state/verdict.py
+++ b/packages/core/crocusbay/state/verdict.py
@@ -23,6 +23,7 @@
     PROTOCOL = "protocol"
     QUARANTINED = "quarantined"
     RESET = "reset"
+    SERVER_LIMIT = "server-limit"
     SHED = "shed"
     SILENT = "silent"
     WRONG_SNAPSHOT = "wrong-snapshot"
--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -74,7 +74,7 @@
         self._rejected_by: set[str] = set()
 
     def choose_server(
-        self, registry: Registry, service: str, max_servers: int
+        self, registry: Registry, service: str, max_servers: int, *, is_urgent: bool
     ) -> Server | None:
         """Return the next server, so that at most `max_servers` may run the request.
 
@@ -83,13 +83,14 @@
         """
         excluded = self._may_have_run_on | self._in_flight
         if len(excluded) < max_servers:
-            server = registry.choose_server(service, excluded | self._rejected_by)
-            server = server or registry.choose_server(service, excluded)
+            server = registry.choose_server(
+                service, excluded | self._rejected_by, is_urgent=is_urgent
+            ) or registry.choose_server(service, excluded, is_urgent=is_urgent)
             if server is not None:
                 return server
         may_be_repeated = self._may_have_run_on - self._in_flight
         return (
-            registry.choose_server(service, only=may_be_repeated)
+            registry.choose_server(service, only=may_be_repeated, is_urgent=is_urgent)
             if may_be_repeated
             else None
         )
@@ -310,7 +311,9 @@
         if self.crashes.is_quarantined(service):
             return None
         registry = self.context.registry
-        server = history.choose_server(registry, service, self.route.max_attempts)
+        server = history.choose_server(
+            registry, service, self.route.max_attempts, is_urgent=self.route.is_urgent
+        )
         if server is None:
             return None
         now = self.context.timers.now()
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -22,6 +22,8 @@
 RETRY_PAUSE_SECONDS = 0.05
 # With less than this share of the median latency left, a retry would only add load.
 MIN_REMAINING_SHARE_OF_MEDIAN = 0.5
+# A request waits this long at most for the limits of its servers.
+MAX_LIMIT_WAIT_SHARE_OF_GOAL = 0.25
 # Share of the retry budget available to hedges; the rest is reserved for retries.
 HEDGE_BUDGET_SHARE = 0.6
 
@@ -69,17 +71,38 @@
         self._context.registry.retry_budget(self._service).record_request(now)
         self._call_at(self._give_up_at, self._give_up)
         if not self._send("first"):
-            self._fail(NotRun(self._unusable_cause()))
+            self._wait_for_limit()
             return
         self._call_at(now + self._latency.hedge_delay, self._handle_late_attempt)
 
-    def _unusable_cause(self) -> Cause:
+    def _wait_for_limit(self) -> None:
+        """Wait if the servers' limits soon allow the request, else refuse it."""
+        delay = self._context.registry.limit_delay(
+            self._service, is_urgent=self._route.is_urgent
+        )
+        max_delay = MAX_LIMIT_WAIT_SHARE_OF_GOAL * self._route.latency_goal
+        if 0.0 < delay <= max_delay:
+            self._call_at(self._now() + delay, self._send_after_wait)
+        else:
+            self._fail(self._unusable_verdict())
+
+    def _send_after_wait(self) -> None:
+        if self._send("first"):
+            late_at = self._now() + self._latency.hedge_delay
+            self._call_at(late_at, self._handle_late_attempt)
+        else:
+            self._fail(self._unusable_verdict())
+
+    def _unusable_verdict(self) -> NotRun:
         """Return why no server may receive the request."""
+        registry = self._context.registry
         if self._crashes.is_quarantined(self._service):
-            return Cause.QUARANTINED
-        if self._context.registry.has_server(self._service):
-            return Cause.OVERLOAD
-        return Cause.NO_UPSTREAM
+            return NotRun(Cause.QUARANTINED)
+        if not registry.has_server(self._service):
+            return NotRun(Cause.NO_UPSTREAM)
+        if registry.limit_delay(self._service, is_urgent=self._route.is_urgent):
+            return NotRun(Cause.SERVER_LIMIT, registry.reserve_return(self._service))
+        return NotRun(Cause.OVERLOAD)
 
     def _send(self, reason: str) -> bool:
         """Send to the best remaining server; return False if none is usable."""
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -88,19 +88,56 @@
         now = self._now()
         for sub_request in self.sub_requests:
             self._context.registry.retry_budget(sub_request.service).record_request(now)
+        if not self._is_within_limits():
+            self._refuse_for_limits()
+            return
         attempts = [
             self._create_attempt(sub_request, "first")
             for sub_request in self.sub_requests
         ]
         for sub_request, attempt in zip(self.sub_requests, attempts, strict=True):
             if attempt is None:
-                if self._crashes.is_quarantined(sub_request.service):
-                    sub_request.failure = NotRun(Cause.QUARANTINED)
-                self._fail(sub_request)
+                self._handle_unusable_shard(sub_request)
         self._dispatcher.send_first(list(filter(None, attempts)), self._latency)
         self._call_at(now + self._latency.hedge_delay, self._hedge_late_sub_requests)
         self._apply_policy()
 
+    def _limit_delay(self, sub_request: SubRequestState) -> float:
+        """Return the time until the limits of a shard's servers allow the request."""
+        return self._context.registry.limit_delay(
+            sub_request.service, is_urgent=self._route.is_urgent
+        )
+
+    def _is_within_limits(self) -> bool:
+        """Return whether the servers' limits leave enough shards for a reply."""
+        allowed = sum(self._limit_delay(each) == 0.0 for each in self.sub_requests)
+        return allowed >= min(self._policy.min_parts, len(self.sub_requests))
+
+    def _refuse_for_limits(self) -> None:
+        """Refuse the request before it uses up what some of the shards allow."""
+        latest = max(self.sub_requests, key=self._limit_delay)
+        retry_after = self._context.registry.reserve_return(latest.service)
+        for sub_request in self.sub_requests:
+            sub_request.failure = NotRun(Cause.SERVER_LIMIT, retry_after)
+            self._fail(sub_request)
+        self._finish(Decision.FAIL)
+
+    def _handle_unusable_shard(self, sub_request: SubRequestState) -> None:
+        """Wait for the limits of a shard's servers, or leave the shard out."""
+        if self._crashes.is_quarantined(sub_request.service):
+            sub_request.failure = NotRun(Cause.QUARANTINED)
+            self._fail(sub_request)
+            return
+        delay = self._limit_delay(sub_request)
+        send_at = self._now() + delay
+        answer_at = self._policy.partial_answer_at - self._latency.median.value
+        if delay > 0.0 and send_at < answer_at:
+            self._call_at(send_at, lambda: self._retry_after_pause(sub_request))
+            return
+        if delay:
+            sub_request.failure = NotRun(Cause.SERVER_LIMIT)
+        self._fail(sub_request)
+
     def _send(self, sub_request: SubRequestState, reason: str) -> bool:
         """Send to the best remaining server; return False if none is usable."""
         attempt = self._create_attempt(sub_request, reason)
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -26,6 +26,11 @@
 LOSS_MARGIN_SECONDS = 0.1
 # A lost host is remembered this long: it may still hold connections, or return.
 LOST_HOST_RETENTION_SECONDS = 60.0
+# Limits are divided by at least this number of hosts, since a host that has just
+# started does not know the others yet.
+MIN_HOST_COUNT = 3
+# Fraction of an even share that a host without load has.
+MIN_LOAD_SHARE_FRACTION = 0.1
 # Contacts in one heartbeat, limited so that it fits into one datagram.
 MAX_SHARED_CONTACTS = 16
 
@@ -56,7 +61,10 @@
         self.incarnation = incarnation
         self.by_name: dict[str, MemberRecord] = {}
         self.contacts_by_name: dict[str, KnownHost] = {}
+        # Requests per second that this host receives from callers.
+        self.own_load = 0.0
         self._host_counts_by_data_centre: dict[str, int] = {}
+        self._loads_by_data_centre: dict[str, float] = {}
         self._deleted_names: set[str] = set()
         self._rotation: list[str] = []
 
@@ -79,6 +87,33 @@
         """Return the number of hosts that may hold connections, including this one."""
         return sum(self.host_counts_by_data_centre.values())
 
+    @property
+    def loads_by_data_centre(self) -> dict[str, float]:
+        """Return the load of the hosts per data centre, including recently lost ones.
+
+        The unit is requests per second. A data centre that has not reported its load is
+        taken to have as much as this one.
+        """
+        local = self.own_load + sum(
+            record.status.load
+            for record in self.by_name.values()
+            if record.status.data_centre == self.data_centre
+        )
+        counts = self.host_counts_by_data_centre
+        return {
+            **dict.fromkeys(counts, local),
+            **self._loads_by_data_centre,
+            self.data_centre: local,
+        }
+
+    @property
+    def load_share(self) -> float:
+        """Return this host's share of the load of all hosts, with a minimum."""
+        total = sum(self.loads_by_data_centre.values())
+        even_share = 1.0 / max(MIN_HOST_COUNT, self.host_count)
+        share = self.own_load / total if total else even_share
+        return max(MIN_LOAD_SHARE_FRACTION * even_share, share)
+
     @property
     def is_bridge(self) -> bool:
         """Return whether this host sends heartbeats to other data centres."""
@@ -120,22 +155,27 @@
         if contact.name != self.name:
             self.contacts_by_name.setdefault(contact.name, contact)
 
-    def update_host_counts(
-        self, sender_data_centre: str, host_counts: dict[str, int]
+    def update_data_centres(
+        self,
+        sender_data_centre: str,
+        host_counts: dict[str, int],
+        loads: dict[str, float],
     ) -> None:
-        """Store host counts of other data centres.
+        """Store the host counts and loads of other data centres.
 
-        Hosts of a data centre know its count best. Counts are accepted from them and
-        from hosts of this data centre, but not from third ones.
+        Hosts of a data centre know it best. Values are accepted from them and from
+        hosts of this data centre, but not from third ones.
         """
-        for data_centre, count in host_counts.items():
-            if data_centre == self.data_centre:
-                continue
-            if (
-                data_centre == sender_data_centre
-                or sender_data_centre == self.data_centre
-            ):
-                self._host_counts_by_data_centre[data_centre] = count
+        for known, values in (
+            (self._host_counts_by_data_centre, host_counts),
+            (self._loads_by_data_centre, loads),
+        ):
+            known.update(
+                (data_centre, value)
+                for data_centre, value in values.items()
+                if data_centre != self.data_centre
+                and sender_data_centre in (data_centre, self.data_centre)
+            )
 
     def expire(self, now: float) -> list[HostStatus]:
         """Mark silent hosts as lost and return them; delete those past retention."""
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -7,6 +7,7 @@
 from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.relay_server import RelayServer
+from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
@@ -37,6 +38,7 @@
         configuration: ConfigurationView,
         servers: ServersView,
         crash_monitor: CrashMonitor,
+        server_limits: ServerLimits,
         build_status: Callable[[int, str], HostStatus],
         on_host_joined: Callable[[], None],
         relay_server: RelayServer,
@@ -50,6 +52,7 @@
         self._configuration = configuration
         self._servers = servers
         self._crash_monitor = crash_monitor
+        self._server_limits = server_limits
         self._build_status = build_status
         self._on_host_joined = on_host_joined
         self._log = log
@@ -90,13 +93,19 @@
 
     def _send_heartbeat_to(self, addresses: list[str]) -> None:
         includes_contacts = self._heartbeat_number % CONTACTS_INTERVAL_HEARTBEATS == 1
-        heartbeat = Heartbeat(
+        heartbeat = self._make_heartbeat(includes_contacts=includes_contacts)
+        self._endpoint.send_heartbeat(heartbeat, addresses)
+
+    def _make_heartbeat(self, *, includes_contacts: bool) -> Heartbeat:
+        membership = self._membership
+        return Heartbeat(
             self._build_status(self._heartbeat_number, self.address),
-            self._membership.sample_contacts() if includes_contacts else (),
+            membership.sample_contacts() if includes_contacts else (),
             self._crash_monitor.quarantine.reports_to_share(self._timers.now()),
-            self._membership.host_counts_by_data_centre if includes_contacts else {},
+            membership.host_counts_by_data_centre if includes_contacts else {},
+            self._server_limits.reports_to_share(),
+            membership.loads_by_data_centre if includes_contacts else {},
         )
-        self._endpoint.send_heartbeat(heartbeat, addresses)
 
     def _seed_addresses(self) -> list[str]:
         """Return the seeds that are not live hosts; at startup, all of them."""
@@ -111,18 +120,16 @@
         if self._membership.update(status, now):
             self._log.info("host-found", peer=status.name, place=status.data_centre)
             self._on_host_joined()
-            response = Heartbeat(
-                self._build_status(self._heartbeat_number, self.address),
-                self._membership.sample_contacts(),
-                self._crash_monitor.quarantine.reports_to_share(now),
-                self._membership.host_counts_by_data_centre,
-            )
+            response = self._make_heartbeat(includes_contacts=True)
             self._endpoint.send_heartbeat(response, [status.peer_address])
         for contact in heartbeat.known_hosts:
             self._membership.add_contact(contact)
-        self._membership.update_host_counts(
-            status.data_centre, heartbeat.host_counts_by_data_centre
+        self._membership.update_data_centres(
+            status.data_centre,
+            heartbeat.host_counts_by_data_centre,
+            heartbeat.loads_by_data_centre,
         )
+        self._server_limits.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
         self._compare_views(status, now)
 
--- a/packages/gateway/crocusbay_gateway/coordination/refusal.py
+++ b/packages/gateway/crocusbay_gateway/coordination/refusal.py
@@ -27,13 +27,18 @@
 JITTER_RATIO = 0.5
 
 
-def make_refusal(cause: Cause, remaining_time: float | None = None) -> Reply:
+def make_refusal(
+    cause: Cause, remaining_time: float | None = None, retry_after: float = 0.0
+) -> Reply:
     """Return a reply stating that the request was not executed.
 
     `remaining_time` is the time until the caller's deadline (seconds); the retry is due
-    within a third of it.
+    within a third of it. `retry_after` is when the cause is expected to have ended
+    (seconds), or 0 if that is only known from the kind of cause.
     """
-    retry_after = RETRY_AFTER_SECONDS_BY_CAUSE.get(cause, DEFAULT_RETRY_AFTER_SECONDS)
+    retry_after = retry_after or RETRY_AFTER_SECONDS_BY_CAUSE.get(
+        cause, DEFAULT_RETRY_AFTER_SECONDS
+    )
     retry_after *= random.uniform(1.0 - JITTER_RATIO, 1.0 + JITTER_RATIO)
     if remaining_time is not None and cause is not Cause.QUARANTINED:
         retry_after = min(retry_after, max(0.01, remaining_time / 3))
@@ -45,8 +50,8 @@
 def reply_to_failure(verdict: Verdict, remaining_time: float) -> Reply:
     """Return the reply to a failed request, given the remaining time (seconds)."""
     match verdict:
-        case NotRun(cause):
-            return make_refusal(cause, remaining_time)
+        case NotRun(cause, retry_after):
+            return make_refusal(cause, remaining_time, retry_after)
         case MayHaveRun(Cause.DEADLINE as cause):
             return Reply(STATUS_GATEWAY_TIMEOUT, outcome=f"may-have-run {cause}")
         case MayHaveRun(cause):
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -6,8 +6,9 @@
 
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.health import ServerHealth
+from crocusbay_gateway.coordination.membership import MIN_HOST_COUNT
 from crocusbay_gateway.coordination.retry_budget import RetryBudget
-from crocusbay_gateway.coordination.stated_limit import StatedLimit
+from crocusbay_gateway.coordination.stated_limit import ServerLimit
 from crocusbay_gateway.protocol import HttpConventions
 from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
 from crocusbay_gateway.transport import ReceiveBudget, ServerPool
@@ -21,9 +22,6 @@
 MIN_BURST_FRACTION = 0.5
 # Exceeds the cost of any server that is not backed off.
 BACKED_OFF_COST = 1_000.0
-# Limits are divided by at least this number of hosts, since a host that has just
-# started does not know the others yet.
-MIN_HOST_COUNT = 3
 # The entry of a server that crashed is removed or replaced within this time.
 END_DETECTION_SECONDS = 8.0
 MAX_END_LISTENERS = 64
@@ -37,7 +35,8 @@
     pool: ServerPool
     health: ServerHealth
     is_remote: bool
-    limit: StatedLimit | None = None
+    # None unless the server states a limit, or did so recently.
+    limit: ServerLimit | None = None
     _end_listeners: deque[tuple[float, Callable[[], None]]] = field(
         default_factory=lambda: deque(maxlen=MAX_END_LISTENERS)
     )
@@ -47,6 +46,12 @@
         """Return whether the server is neither leaving nor removed."""
         return self.entry.is_usable and not self.pool.is_closed
 
+    def limit_delay(self, now: float, *, is_urgent: bool) -> float:
+        """Return the time until this host may send to the server (seconds)."""
+        if self.limit is None:
+            return 0.0
+        return self.limit.delay(now, is_urgent=is_urgent)
+
     def on_end(self, listener: Callable[[], None], now: float) -> None:
         """Call a listener if the server soon ends without leaving first."""
         self._end_listeners.append((now, listener))
@@ -141,10 +146,13 @@
         service: str,
         exclude: Collection[str] = (),
         only: Collection[str] | None = None,
+        *,
+        is_urgent: bool = True,
     ) -> Server | None:
         """Return the server with the least expected cost, or None if none may be used.
 
-        If every server is backed off, one without requests in flight is tried.
+        A server whose limit leaves no room for another send is not used. If every
+        server is backed off, one without requests in flight is tried.
         """
         now = self._timers.now()
         best, best_cost = None, float("inf")
@@ -154,6 +162,8 @@
                 continue
             if server.health.is_misdirected(now):
                 continue
+            if server.limit_delay(now, is_urgent=is_urgent) > 0.0:
+                continue
             cost = server.cost(now)
             if not server.health.is_available(now):
                 if server.health.in_flight:
@@ -170,6 +180,37 @@
             return None
         return server if server.entry.service == service else None
 
+    def find_process(self, name: str, started_at: int) -> Server | None:
+        """Return a server by name and start, or None if not known."""
+        server = self._by_name.get(name)
+        if server is None or server.entry.started_at != started_at:
+            return None
+        return server
+
+    def limit_delay(self, service: str, *, is_urgent: bool) -> float:
+        """Return the time until the limits allow a send to the service (seconds)."""
+        now = self._timers.now()
+        return min(
+            (
+                server.limit_delay(now, is_urgent=is_urgent)
+                for server in self.by_service.get(service, ())
+                if not server.health.is_misdirected(now)
+            ),
+            default=0.0,
+        )
+
+    def reserve_return(self, service: str) -> float:
+        """Return when a caller refused for the limits may return (seconds)."""
+        now = self._timers.now()
+        limits = [
+            server.limit
+            for server in self.by_service.get(service, ())
+            if server.limit is not None and server.limit.is_in_force
+        ]
+        if not limits:
+            return 0.0
+        return min(limits, key=lambda limit: limit.delay(now)).reserve_return(now)
+
     def has_server(self, service: str) -> bool:
         """Return whether any server of the service is usable."""
         return bool(self.by_service.get(service))
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -104,7 +104,7 @@
             attempts.append(attempt)
         for attempt in attempts:
             self._context.metrics.attempts.inc("relayed")
-            self._context.server_limits.record_send(attempt.server, "relayed")
+            self._context.server_limits.record_relayed_send(attempt.server)
             attempt.send()
         self._flush_if_needed()
 
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -178,7 +178,7 @@
             self.timers,
             self.registry,
             CrashMonitor(Quarantine(), log, metrics, self.timers),
-            ServerLimits(log, metrics, self.timers),
+            ServerLimits(self.registry, log, metrics, self.timers),
             log,
             metrics,
             RelayClients(membership, self.timers, log, None),
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -15,13 +15,16 @@
     Crash,
     Quarantine,
 )
+from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_server import RelayServer
+from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.store import StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import KnownHost
-from crocusbay_gateway.state import Configuration, HostStatus, ServerEntry
+from crocusbay_gateway.protocol.tests.http_conventions import HTTP_CONVENTIONS
+from crocusbay_gateway.state import Bounds, Configuration, HostStatus, ServerEntry
 
 pytestmark = pytest.mark.anyio
 
@@ -40,11 +43,14 @@
         self.quarantine = Quarantine()
         _, write_end = os.pipe()
         log = EventLog(name, write_end)
+        metrics = GatewayMetrics()
+        registry = Registry("a", HTTP_CONVENTIONS, Bounds(), timers, spawn)
         self.peering = Peering(
             self.membership,
             self.configuration,
             self.servers,
-            CrashMonitor(self.quarantine, log, GatewayMetrics(), timers),
+            CrashMonitor(self.quarantine, log, metrics, timers),
+            ServerLimits(registry, log, metrics, timers),
             self.build_status,
             lambda: None,
             RelayServer(None, lambda query: Cause.OVERLOAD),
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -233,14 +233,17 @@
     assert membership.loss_timeout > 4 * 0.25 * 29 / 9
 
 
-def test_host_counts_of_a_data_centre_come_from_its_own_hosts():
+def test_counts_and_loads_of_a_data_centre_come_from_its_own_hosts():
     membership = Membership("host-0", "a", 1)
-    membership.update(status("host-1"), 0.0)
-    membership.update_host_counts("b", {"a": 9, "b": 5})
-    membership.update_host_counts("b", {"c": 4})
-    membership.update_host_counts("a", {"c": 3})
+    membership.own_load = 2.0
+    membership.update(status("host-1", load=5.0), 0.0)
+    membership.update_data_centres("b", {"a": 9, "b": 5}, {"a": 1.0, "b": 6.0})
+    membership.update_data_centres("b", {"c": 4}, {"c": 2.0})
+    membership.update_data_centres("a", {"c": 3}, {"c": 7.0})
     assert membership.host_counts_by_data_centre == {"a": 2, "b": 5, "c": 3}
     assert membership.host_count == 10
+    assert membership.loads_by_data_centre == {"a": 7.0, "b": 6.0, "c": 7.0}
+    assert membership.load_share == 0.1
 
 
 def test_silent_host_is_marked_lost_and_later_deleted_once():
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_limits.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_limits.py
@@ -3,29 +3,24 @@
 import msgspec
 import pytest
 
-from crocusbay_gateway.coordination.attempt import RouteLatency
-from crocusbay_gateway.coordination.forward import ForwardHandler
-from crocusbay_gateway.coordination.tests.simulation import (
-    SimulatedGateway,
-    make_request,
-    make_route,
-    run_to_completion,
+from crocusbay_gateway.coordination.server_limits import RETENTION_SECONDS
+from crocusbay_gateway.coordination.stated_limit import (
+    MAX_RETRY_AFTER_SECONDS,
+    ServerLimit,
+    StatedLimit,
 )
-from crocusbay_gateway.state import ToService
+from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
+from crocusbay_gateway.protocol import ServerLimitReport
+from crocusbay_gateway.state import ServerResponse
 
 pytestmark = pytest.mark.anyio
 
 
-async def forward(gateway):
-    """Return the reply to a request that goes to service s."""
-    route = make_route(ToService("s"))
-    request = make_request(gateway)
-    latency = RouteLatency(route.latency_goal)
-    handler = ForwardHandler(
-        gateway.context, request, route, "s", latency, request.deadline
-    )
-    reply, _ = await run_to_completion(gateway, handler)
-    return reply
+def record_response(gateway, stated_limit):
+    """Record a response of server s-1 that states a limit."""
+    server = gateway.registry.find_server("s", "s-1")
+    response = ServerResponse(200, b"", (), b"", stated_limit=stated_limit)
+    gateway.context.server_limits.record_response(server, response)
 
 
 def logged_events(gateway, event):
@@ -45,13 +40,88 @@
         ([b"8", b"-1", b"nan", b"many", b"inf"], [8.0]),
     ],
 )
-async def test_each_change_of_a_stated_limit_is_logged(stated, logged):
+def test_each_change_of_a_stated_limit_is_logged(stated, logged):
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
     for value in stated:
-        gateway.set_script("s-1", stated_limit=value)
-        reply = await forward(gateway)
-        assert reply.status == 200
-        await gateway.timers.advance(1.0)
+        record_response(gateway, value)
     events = logged_events(gateway, "server-limit")
     assert [event["limit"] for event in events] == logged
     assert {event["server"] for event in events} <= {"s-1"}
+
+
+@pytest.mark.parametrize(
+    ("age", "reported", "expected"),
+    [
+        # Only what is newer than this host's own knowledge counts.
+        (2.0, 3.0, 8.0),
+        (0.5, 3.0, 3.0),
+        (0.5, None, None),
+        (2.0, None, 8.0),
+    ],
+)
+async def test_newest_statement_of_a_server_counts(age, reported, expected):
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    record_response(gateway, b"8")
+    await gateway.timers.advance(1.0)
+    limits = gateway.context.server_limits
+    limits.record_reports((ServerLimitReport("s-1", 0, reported, age),))
+    assert gateway.registry.find_server("s", "s-1").limit.stated.rate == expected
+
+
+@pytest.mark.parametrize("server", [("s-1", 1), ("s-9", 0)])
+def test_report_on_another_process_is_ignored(server):
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    gateway.context.server_limits.record_reports((ServerLimitReport(*server, 3.0, 0),))
+    assert gateway.registry.find_server("s", "s-1").limit is None
+
+
+async def test_limit_that_no_response_confirms_lapses():
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    record_response(gateway, b"8")
+    limits = gateway.context.server_limits
+    for seconds, is_known in [(RETENTION_SECONDS - 1.0, True), (2.0, False)]:
+        await gateway.timers.advance(seconds)
+        limits.set_share(0.5)
+        assert (gateway.registry.find_server("s", "s-1").limit is not None) == is_known
+        assert bool(limits.reports_to_share()) == is_known
+
+
+@pytest.mark.parametrize(
+    ("rate", "share", "demand", "sends"),
+    [
+        # Requests per second over ten seconds, of which 0.9 of the share is used.
+        (20.0, 0.5, 50.0, 90),
+        (20.0, 0.1, 50.0, 18),
+        (2.0, 0.1, 50.0, 2),
+        (0.0, 0.5, 50.0, 1),
+        # A burst of what 1.5 s allow may come on top.
+        (20.0, 0.5, 8.0, 80),
+    ],
+)
+def test_sends_are_paced_by_the_share_of_the_limit(rate, share, demand, sends):
+    limit = ServerLimit(StatedLimit(rate, 0.0), share, 0.0)
+    allowed = 0
+    for number in range(int(10 * demand)):
+        now = number / demand
+        if limit.delay(now) == 0.0:
+            limit.record_send(now)
+            allowed += 1
+    assert abs(allowed - sends) <= 2
+
+
+def test_requests_that_are_not_urgent_leave_a_send_to_urgent_ones():
+    limit = ServerLimit(StatedLimit(10.0, 0.0), 1.0, 0.0)
+    now = 10.0
+    while limit.delay(now, is_urgent=False) == 0.0:
+        limit.record_send(now)
+    assert limit.delay(now) == 0.0
+
+
+def test_refused_callers_return_one_after_the_other():
+    limit = ServerLimit(StatedLimit(10.0, 0.0), 0.5, 0.0)
+    for _ in range(3):
+        limit.record_send(0.0)
+    returns = [limit.reserve_return(0.0) for _ in range(4)]
+    assert returns == sorted(set(returns))
+    assert returns[0] >= limit.delay(0.0)
+    assert limit.reserve_return(0.0) <= MAX_RETRY_AFTER_SECONDS
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -147,7 +147,9 @@
         self.crash_monitor = CrashMonitor(
             Quarantine(), self.log, self.metrics, self.timers
         )
-        self.server_limits = ServerLimits(self.log, self.metrics, self.timers)
+        self.server_limits = ServerLimits(
+            self.registry, self.log, self.metrics, self.timers
+        )
         self.quarantine_store = QuarantineStore(
             self.crash_monitor,
             self.membership,
@@ -194,6 +196,7 @@
             self.configuration,
             self.servers,
             self.crash_monitor,
+            self.server_limits,
             self._build_status,
             self._update_limit_shares,
             self.request_service.relay_server,
@@ -298,6 +301,7 @@
             ) / HEARTBEAT_INTERVAL_SECONDS
             self._previous_received_count = received_count
             self._load += LOAD_SMOOTHING * (rate - self._load)
+            self.membership.own_load = self._load
             for status in self.membership.expire(now):
                 self.log.warning(
                     "host-lost", peer=status.name, beat=status.heartbeat_number
@@ -320,6 +324,7 @@
         self.registry.set_limit_shares(
             self.membership.host_count, load_share, data_centre_count
         )
+        self.server_limits.set_share(self.membership.load_share)
 
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live_hosts))
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -11,6 +11,7 @@
     CrashReport,
     Heartbeat,
     KnownHost,
+    ServerLimitReport,
     ViewQuery,
     ViewResponse,
 )
@@ -35,6 +36,7 @@
     "RelayedFailure",
     "RelayedPart",
     "RelayedSubRequest",
+    "ServerLimitReport",
     "ViewQuery",
     "ViewResponse",
     "encode_reply",
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -28,16 +28,32 @@
     is_unanswered: bool = True
 
 
+class ServerLimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report what a server last stated, `age` seconds ago.
+
+    `rate` is the requests per second that it takes from all hosts together, or None if
+    it stated no limit.
+    """
+
+    server: str
+    started_at: int
+    rate: float | None
+    age: float
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
-    """Publish the sender's status, known hosts and crash reports.
+    """Publish the sender's status, known hosts, crash reports and servers' limits.
 
-    `host_counts_by_data_centre` includes hosts that were lost recently.
+    `host_counts_by_data_centre` and `loads_by_data_centre` (requests per second)
+    include hosts that were lost recently.
     """
 
     sender: HostStatus
     known_hosts: tuple[KnownHost, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
     host_counts_by_data_centre: dict[str, int] = {}
+    server_limits: tuple[ServerLimitReport, ...] = ()
+    loads_by_data_centre: dict[str, float] = {}
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
--- a/packages/gateway/crocusbay_gateway/state/configuration.py
+++ b/packages/gateway/crocusbay_gateway/state/configuration.py
@@ -79,6 +79,11 @@
         """Return whether a request may be executed more than once."""
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether no route has a higher priority."""
+        return self.priority == 0
+
     @property
     def services(self) -> tuple[str, ...]:
         """Return the services that may receive requests of this route."""
