Log which relay sent a failed attempt, and measure the silence of all servers

A failed attempt names its relay, and a gauge holds the time since any server responded to the host itself. No decision depends on them yet.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -276,7 +276,8 @@
         if response.status == conventions.wrong_server_status:
             return NotRun(Cause.LEAVING)
         # A relay returns only the records and the signature of a response.
-        if self.exchange.server_time is None:
+        if not self.exchange.relay:
+            self._context.registry.last_response_at = self._context.timers.now()
             self._context.server_limits.record_response(self.server, response)
         not_run_header = conventions.not_run.lower()
         if any(name.lower() == not_run_header for name, _ in response.headers):
@@ -347,4 +348,5 @@
             entry_revision=entry.revision,
             cause=verdict.cause,
             detail=verdict.detail,
+            relay=attempt.exchange.relay,
         )
--- a/packages/gateway/crocusbay_gateway/coordination/dispatch.py
+++ b/packages/gateway/crocusbay_gateway/coordination/dispatch.py
@@ -86,6 +86,8 @@
             )
             for each in group
         ]
+        for attempt in group:
+            attempt.exchange.relay = relay.name
         remaining_time = self._give_up_at - self._context.timers.now()
         call = relay.send_query(
             self._request,
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -83,6 +83,8 @@
         spawn: Callable,
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
+        # When a server last responded to this host itself.
+        self.last_response_at = timers.now()
         self._share_inputs = (1, 0.0, 1)
         self._data_centre = data_centre
         self._conventions = conventions
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -329,6 +329,7 @@
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live_hosts))
         self.metrics.running.set(self.request_service.running_count)
+        self.metrics.server_silence.set(now - self.registry.last_response_at)
         self.metrics.view_age.set(self.configuration.age(now), "configuration")
         self.metrics.view_age.set(self.servers.age(now), "servers")
 
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -128,6 +128,10 @@
             "Time since the store confirmed a view",
             "view",
         )
+        self.server_silence = LabelledValue(
+            "crocusbay_gateway_server_silence_seconds",
+            "Time since any server responded to this host itself",
+        )
         self.running = LabelledValue(
             "crocusbay_gateway_running", "Requests being served"
         )
@@ -157,6 +161,7 @@
             (self.store_calls, CounterMetricFamily),
             (self.members, GaugeMetricFamily),
             (self.view_age, GaugeMetricFamily),
+            (self.server_silence, GaugeMetricFamily),
             (self.running, GaugeMetricFamily),
         ):
             family = family_class(metric.name, metric.help_text, labels=metric.labels)
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -47,6 +47,7 @@
         "sent_at",
         "server_time",
         "channel",
+        "relay",
         "_deliver",
     )
 
@@ -72,6 +73,8 @@
         # The connection or relayed call in use; its `close` aborts the exchange that is
         # its `current_exchange`.
         self.channel: ExchangeChannel | None = None
+        # Name of the host that sends the request to the server for this one, if any.
+        self.relay = ""
         self._deliver = deliver
 
     def replace_callback(self, deliver: Callable[["Exchange", Verdict], None]) -> None:
