--- a/packages/standins/crocusbay_standins/emulator/network.py
+++ b/packages/standins/crocusbay_standins/emulator/network.py
@@ -38,6 +38,7 @@
         # A dict keeps the order of opening, so that a seed is reproducible.
         self._streams: dict[StreamTransport, None] = {}
         self._partitioned_links: set[frozenset[str]] = set()
+        self._refused_links: set[frozenset[str]] = set()
         self._next_port = FIRST_EPHEMERAL_PORT
 
     def draw_latency(self) -> float:
@@ -52,9 +53,20 @@
         """Partition two machines: datagrams are dropped, streams stall."""
         self._partitioned_links.add(frozenset((one, other)))
 
+    def refuse_connections(self, one: str, other: str) -> None:
+        """Refuse new connections between two machines; open ones live on."""
+        self._refused_links.add(frozenset((one, other)))
+
+    def reset_connections(self, one: str, other: str) -> None:
+        """Reset the open connections between two machines."""
+        for stream in list(self._streams):
+            if {stream.own_address[0], stream.peer_address[0]} == {one, other}:
+                stream.receive_reset()
+
     def heal(self) -> None:
-        """End all partitions and resume the streams that stalled."""
+        """End all partitions and refusals, and resume the streams that stalled."""
         self._partitioned_links.clear()
+        self._refused_links.clear()
         for stream in list(self._streams):
             stream.resume_delivery()
 
@@ -128,7 +140,7 @@
             await asyncio.sleep(1.0)
         await asyncio.sleep(self.draw_latency())
         listener = self._listeners.get((ip, port))
-        if listener is None:
+        if listener is None or frozenset((source, ip)) in self._refused_links:
             await asyncio.sleep(self.draw_latency())
             raise ConnectionRefusedError(errno.ECONNREFUSED, f"{ip}:{port} refused")
         client = StreamTransport(
--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -155,7 +155,7 @@
         if loop.time() < self._resolved_at + RESOLUTION_INTERVAL_SECONDS:
             return
         for host in self._rng.sample(self._hosts, min(3, len(self._hosts))):
-            addresses = await self._resolve(host)
+            addresses = await self.resolve(host)
             if addresses:
                 self._addresses = addresses
                 self._resolved_at = loop.time()
@@ -163,7 +163,8 @@
                     self._stream_by_address.pop(address)[1].close()
                 return
 
-    async def _resolve(self, host: SoakHost) -> tuple[str, ...]:
+    async def resolve(self, host: SoakHost) -> tuple[str, ...]:
+        """Return the addresses that a host gives to callers; empty if it fails."""
         try:
             async with asyncio.timeout(RESOLUTION_TIMEOUT_SECONDS):
                 ip, port = split_address(host.settings.entry_address)
--- a/packages/standins/crocusbay_standins/soak/proxy.py
+++ b/packages/standins/crocusbay_standins/soak/proxy.py
@@ -38,8 +38,9 @@
 class Proxy:
     """Proxy in front of one address."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, ip: str = "127.0.0.1") -> None:
         self.target = target
+        self._ip = ip
         self.fault = LinkFault.NONE
         # Connections that clients hold open, now and at most.
         self.open_connections = 0
@@ -55,7 +56,7 @@
 
     async def start(self, port: int = 0) -> str:
         """Listen on a port and return the address; port 0 lets the system choose."""
-        self._server, self._address = await listen(self._serve, port)
+        self._server, self._address = await listen(self._serve, port, self._ip)
         return self._address
 
     def close(self) -> None:
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -17,6 +17,8 @@
 QUEUE_LIMIT = 12
 RECORDS_PER_SHARD = 8
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+# Not that of the store and the callers, so that a link to all servers can fail alone.
+SERVERS_IP = "127.0.0.2"
 # A request whose target contains this crashes each server that begins to run it.
 CRASH_MARK = "crash"
 RESTART_SECONDS = 2.0
@@ -89,7 +91,7 @@
         self._not_paused.set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server, address = await listen(self._serve)
-        self.proxy = Proxy(address)
+        self.proxy = Proxy(address, SERVERS_IP)
         await self.proxy.start(port)
         self.is_up = True
         self.is_draining = False
--- a/packages/standins/crocusbay_standins/soak/tcp_server.py
+++ b/packages/standins/crocusbay_standins/soak/tcp_server.py
@@ -8,7 +8,9 @@
 ]
 
 
-async def listen(serve: ConnectionHandler, port: int = 0) -> tuple[asyncio.Server, str]:
+async def listen(
+    serve: ConnectionHandler, port: int = 0, ip: str = "127.0.0.1"
+) -> tuple[asyncio.Server, str]:
     """Return a server that serves each connection, and its address as "ip:port".
 
     Port 0 lets the system choose one.
@@ -23,6 +25,6 @@
             # The loop is shutting down; asyncio would log each open connection.
             writer.transport.abort()
 
-    server = await asyncio.start_server(serve_until_cancelled, "127.0.0.1", port)
+    server = await asyncio.start_server(serve_until_cancelled, ip, port)
     ip, port = server.sockets[0].getsockname()
     return server, f"{ip}:{port}"
