Hand requests over to another host while this one reaches no server

The class: a failure of the observer taken for a failure of the observed.

Change: doubts make a host open connections to servers chosen at random; if none opens, it is cut off, says so in its heartbeat, and hands whole requests over to hosts that reach servers. Hosts that are cut off aren't given to callers and aren't relays. When links return, back-offs end.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -190,6 +190,7 @@
 
     def send(self) -> None:
         """Submit the request to the server's connection pool."""
+        self._context.registry.reachability.record_attempt(self._started_at)
         self.server.pool.submit(self.exchange)
 
     def abandon(self, *, immediately: bool) -> None:
@@ -277,7 +278,8 @@
             return NotRun(Cause.LEAVING)
         # A relay returns only the records and the signature of a response.
         if not self.exchange.relay:
-            self._context.registry.last_response_at = self._context.timers.now()
+            now = self._context.timers.now()
+            self._context.registry.reachability.record_response(now)
             self._context.server_limits.record_response(self.server, response)
         not_run_header = conventions.not_run.lower()
         if any(name.lower() == not_run_header for name, _ in response.headers):
--- a/packages/gateway/crocusbay_gateway/coordination/entry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/entry.py
@@ -29,7 +29,8 @@
 class EntryCandidate:
     """Describe a host that could be listed in a reply to a caller.
 
-    `load` is in requests per second, `gather_time` in seconds per request.
+    `load` is in requests per second, `gather_time` in seconds per request. A host that
+    `is_cut_off` reaches no server.
     """
 
     address: str
@@ -38,6 +39,7 @@
     gather_time: float = 0.0
     is_ready: bool = True
     is_leaving: bool = False
+    is_cut_off: bool = False
 
 
 def serving_data_centres(server_counts: Mapping[str, int]) -> frozenset[str]:
@@ -59,9 +61,10 @@
     hosts = list(candidates)
     serving = serving_data_centres(server_counts)
     ready = [host for host in hosts if host.is_ready and not host.is_leaving]
-    near_servers = [host for host in ready if host.data_centre in serving]
+    reaching = [host for host in ready if not host.is_cut_off]
+    near_servers = [host for host in reaching if host.data_centre in serving]
     local = [host for host in near_servers if host.data_centre == data_centre]
-    for group in (local, near_servers, ready):
+    for group in (local, near_servers, reaching, ready):
         if len(group) >= MIN_HOSTS:
             return _addresses_by_load(_fastest_sufficient(group))
     ready_or_leaving = [host for host in hosts if host.is_ready]
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -56,6 +56,14 @@
         self._failure: Verdict | None = None
         self._failed_response: ServerResponse | None = None
 
+    @property
+    def may_be_interrupted(self) -> bool:
+        """Return whether the request may be repeated or reached no server."""
+        return self._route.is_idempotent or not (
+            self._history.has_reached_server
+            or any(attempt.is_sent for attempt in self._in_flight)
+        )
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
         return {
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -70,6 +70,11 @@
         self._pending_count = len(self.sub_requests)
         self._has_policy_timer = False
 
+    @property
+    def may_be_interrupted(self) -> bool:
+        """Return whether no part has arrived."""
+        return not self._received_count
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
         missing = [each.service for each in self.sub_requests if not each.signature]
--- a/packages/gateway/crocusbay_gateway/coordination/health.py
+++ b/packages/gateway/crocusbay_gateway/coordination/health.py
@@ -117,6 +117,12 @@
                 if self._consecutive_failures >= 2:
                     self._back_off(now)
 
+    def end_backoff(self) -> None:
+        """Forget the failures, which were not the server's."""
+        self._consecutive_failures = 0
+        self._backed_off_until = 0.0
+        self.failure_rate = 0.0
+
     def record_wait(self, elapsed: float, typical: float, now: float) -> None:
         """Record the time spent waiting for a response that has not arrived."""
         sample = min(MAX_SLOWNESS, elapsed / max(1e-6, typical))
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -2,18 +2,19 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from crocusbay.state import split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
-from crocusbay_gateway.coordination.relay_server import RelayServer
 from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.protocol import Heartbeat, KnownHost, ViewQuery, ViewResponse
 from crocusbay_gateway.state import HostStatus
-from crocusbay_gateway.transport import PeerEndpoint, fetch_view
+from crocusbay_gateway.transport import FrameConnection, PeerEndpoint, fetch_view
 
 # Contacts and host counts are included in one heartbeat out of this many.
 CONTACTS_INTERVAL_HEARTBEATS = 4
@@ -29,7 +30,8 @@
     """Report this host's status to other hosts, and process theirs.
 
     `build_status` returns this host's status for a heartbeat number and peer address;
-    `on_host_joined` is called when a host is new or was lost before.
+    `on_host_joined` is called when a host is new or was lost before. `on_query` is
+    called with each query other than for a view, and its connection.
     """
 
     def __init__(
@@ -41,7 +43,8 @@
         server_limits: ServerLimits,
         build_status: Callable[[int, str], HostStatus],
         on_host_joined: Callable[[], None],
-        relay_server: RelayServer,
+        on_query: Callable[[FrameConnection, msgspec.Struct], None],
+        on_disconnect: Callable[[FrameConnection], None],
         log: EventLog,
         timers: TimerService,
         spawn: Callable,
@@ -64,8 +67,8 @@
             self._on_heartbeat,
             self._answer_view_query,
             lambda reason: log.warning("malformed-peer-message", reason=reason),
-            relay_server.handle_message,
-            relay_server.handle_disconnect,
+            on_query,
+            on_disconnect,
         )
 
     async def start(self, ip: str, port: int) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -8,6 +8,7 @@
 from crocusbay_gateway.coordination.health import ServerHealth
 from crocusbay_gateway.coordination.membership import MIN_HOST_COUNT
 from crocusbay_gateway.coordination.retry_budget import RetryBudget
+from crocusbay_gateway.coordination.server_reachability import ServerReachability
 from crocusbay_gateway.coordination.stated_limit import ServerLimit
 from crocusbay_gateway.protocol import HttpConventions
 from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
@@ -83,8 +84,7 @@
         spawn: Callable,
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
-        # When a server last responded to this host itself.
-        self.last_response_at = timers.now()
+        self.reachability = ServerReachability()
         self._share_inputs = (1, 0.0, 1)
         self._data_centre = data_centre
         self._conventions = conventions
@@ -227,6 +227,15 @@
                 )
         return counts
 
+    def servers(self) -> list[Server]:
+        """Return the usable servers of all services."""
+        return [server for each in self.by_service.values() for server in each]
+
+    def end_backoffs(self) -> None:
+        """Use every server again, after this host's own links had failed."""
+        for server in self._by_name.values():
+            server.health.end_backoff()
+
     def close(self) -> None:
         """Close idle connections and refuse requests that wait for one."""
         for server in self._by_name.values():
@@ -252,11 +261,18 @@
                 self._timers,
                 self._spawn,
                 self._receive_budget,
+                lambda is_open: self._record_connect(entry.name, is_open),
             ),
             ServerHealth(self._timers.now() + entry.warm_up_time),
             is_remote=entry.data_centre != self._data_centre,
         )
 
+    def _record_connect(self, name: str, is_open: bool) -> None:
+        if is_open:
+            self.reachability.record_connected()
+        else:
+            self.reachability.record_connect_failed(name)
+
     @staticmethod
     def _is_same_process(known: ServerEntry, entry: ServerEntry) -> bool:
         return not entry.is_removed and (
--- a/packages/gateway/crocusbay_gateway/coordination/relay.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay.py
@@ -56,7 +56,10 @@
     candidates = [
         host
         for host in hosts
-        if host.data_centre == data_centre and host.is_ready and not host.is_leaving
+        if host.data_centre == data_centre
+        and host.is_ready
+        and not host.is_leaving
+        and not host.is_cut_off
     ]
     fastest = min((host.gather_time for host in candidates), default=0.0)
     fast = [host for host in candidates if host.gather_time <= MAX_SLOWDOWN * fastest]
--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -9,6 +9,7 @@
 from crocusbay_gateway.state import CallerRequest, Reply
 
 Outcome = TypeVar("Outcome")
+_INTERRUPTED = object()
 
 
 class RequestHandler(Generic[Outcome]):
@@ -21,20 +22,32 @@
         self._done: asyncio.Future[Outcome]
         self._timers: list[Timer] = []
 
-    async def run(self) -> Reply:
-        """Return the reply; if the caller disconnects, cancel attempts at once."""
+    async def run(self) -> Reply | None:
+        """Return the reply, or None after an interruption.
+
+        If the caller disconnects, cancel attempts at once.
+        """
         self._done = asyncio.get_running_loop().create_future()
         is_finished = False
         try:
             self._start()
             outcome = await self._done
-            is_finished = True
+            is_finished = outcome is not _INTERRUPTED
         finally:
             for timer in self._timers:
                 timer.cancel()
             self._abandon_attempts(immediately=not is_finished)
             self._crashes.end()
-        return self._make_reply(outcome)
+        return self._make_reply(outcome) if is_finished else None
+
+    @property
+    def may_be_interrupted(self) -> bool:
+        """Return whether another host may serve the request from its beginning."""
+        raise NotImplementedError
+
+    def interrupt(self) -> None:
+        """Stop serving the request; its attempts are cancelled at once."""
+        self._finish(_INTERRUPTED)
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -3,6 +3,8 @@
 from asyncio import CancelledError
 from collections.abc import Callable
 
+import msgspec
+
 from crocusbay.state import Cause
 from crocusbay_gateway.coordination.admission import (
     WeightedRoundRobin,
@@ -12,15 +14,18 @@
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.forward import ForwardHandler
 from crocusbay_gateway.coordination.gather import ScatterGatherHandler
+from crocusbay_gateway.coordination.handover_client import HandoverClient
+from crocusbay_gateway.coordination.handover_server import HandoverServer
 from crocusbay_gateway.coordination.partial import (
     CALLER_ROUND_TRIP_SECONDS,
     PartialAnswerPolicy,
     min_parts,
 )
-from crocusbay_gateway.coordination.refusal import make_refusal
+from crocusbay_gateway.coordination.refusal import make_refusal, reply_to_failure
 from crocusbay_gateway.coordination.relay_server import RelayServer
+from crocusbay_gateway.coordination.request_handler import RequestHandler
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
-from crocusbay_gateway.protocol import RelayQuery
+from crocusbay_gateway.protocol import HandoverCancel, HandoverRequest, RelayQuery
 from crocusbay_gateway.state import (
     CallerRequest,
     Configuration,
@@ -30,6 +35,7 @@
     ToShards,
     ToSplit,
 )
+from crocusbay_gateway.transport import FrameConnection
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -38,6 +44,10 @@
 NOT_FOUND_MAX_AGE_SECONDS = 2.5
 # The final reply is written this long before the caller stops waiting.
 REPLY_MARGIN_SECONDS = 0.02
+# Open connections to servers may live on while new ones fail.
+RECENT_RESPONSE_SECONDS = 0.5
+# A host that does not reply within this multiple of the goal may be cut off as well.
+HANDOVER_TIMEOUT_GOALS = 3.0
 
 
 class RequestService:
@@ -49,6 +59,8 @@
         configuration: ConfigurationView,
         servers: ServersView,
         cores: float,
+        handover: HandoverClient,
+        spawn: Callable,
     ) -> None:
         self.running_count = 0
         self.received_count = 0
@@ -58,28 +70,114 @@
         self._admission = make_admission_policy(cores)
         self._latency_by_route: dict[str, RouteLatency] = {}
         self._round_robin_by_route: dict[str, WeightedRoundRobin] = {}
+        self._handover = handover
+        self._running_handlers: set[RequestHandler] = set()
         self.relay_server = RelayServer(context, self.admit_relay)
+        self.handover_server = HandoverServer(
+            self.handle_handover, context.timers, spawn
+        )
         configuration.subscribe(self._drop_removed_routes)
 
     async def handle(self, request: CallerRequest) -> Reply:
         """Return the final reply to a request."""
+        return await self._handle(request, may_hand_over=True)
+
+    async def handle_handover(self, request: CallerRequest) -> Reply:
+        """Return the final reply to a request that another host handed over."""
+        return await self._handle(request, may_hand_over=False)
+
+    def handle_peer_query(
+        self, connection: FrameConnection, query: msgspec.Struct
+    ) -> None:
+        """Serve a query of another host."""
+        match query:
+            case HandoverRequest() | HandoverCancel():
+                self.handover_server.handle_message(connection, query)
+            case _:
+                self.relay_server.handle_message(connection, query)
+
+    def handle_peer_disconnect(self, connection: FrameConnection) -> None:
+        """Cancel what a closed connection to another host has requested."""
+        self.relay_server.handle_disconnect(connection)
+        self.handover_server.handle_disconnect(connection)
+
+    def hand_over_running(self) -> None:
+        """Have other hosts serve the requests for which no server has responded."""
+        if self._handover.has_target:
+            for handler in list(self._running_handlers):
+                if handler.may_be_interrupted:
+                    handler.interrupt()
+
+    async def _handle(self, request: CallerRequest, *, may_hand_over: bool) -> Reply:
         self.received_count += 1
         route, reply = self._admit(request)
         log_fields: dict[str, object] = {}
         if reply is None:
-            handler = self._make_handler(request, route)
             self.running_count += 1
             try:
-                reply = await handler.run()
+                reply = await self._serve(
+                    request, route, log_fields, may_hand_over=may_hand_over
+                )
             except CancelledError:
-                self._log_caller_left(request, route, handler.log_fields())
+                self._log_caller_left(request, route, log_fields)
                 raise
             finally:
                 self.running_count -= 1
-            log_fields = handler.log_fields()
         self._log_reply(request, route, reply, log_fields)
         return reply
 
+    async def _serve(
+        self,
+        request: CallerRequest,
+        route: Route,
+        log_fields: dict[str, object],
+        *,
+        may_hand_over: bool,
+    ) -> Reply:
+        """Return the reply, from this host's servers or from another host."""
+        if self._context.registry.reachability.is_cut_off:
+            if may_hand_over and self._handover.has_target:
+                return await self._hand_over(request, route, log_fields)
+            if not self._has_recent_response():
+                cause = Cause.NO_UPSTREAM
+                return make_refusal(cause, self._remaining_time(request))
+        handler = self._make_handler(request, route)
+        if may_hand_over:
+            self._running_handlers.add(handler)
+        try:
+            reply = await handler.run()
+        finally:
+            self._running_handlers.discard(handler)
+            log_fields.update(handler.log_fields())
+        if reply is None:
+            return await self._hand_over(request, route, log_fields)
+        return reply
+
+    def _has_recent_response(self) -> bool:
+        """Return whether open connections to servers still work."""
+        silence = (
+            self._context.timers.now()
+            - self._context.registry.reachability.last_response_at
+        )
+        return silence < RECENT_RESPONSE_SECONDS
+
+    async def _hand_over(
+        self, request: CallerRequest, route: Route, log_fields: dict[str, object]
+    ) -> Reply:
+        """Return the reply of another host."""
+        result, peer = await self._handover.serve(
+            request,
+            is_idempotent=route.is_idempotent,
+            reply_timeout=HANDOVER_TIMEOUT_GOALS * route.latency_goal,
+        )
+        log_fields["handed_over_to"] = peer
+        if isinstance(result, Reply):
+            return result
+        remaining_time = self._remaining_time(request)
+        return reply_to_failure(
+            result, route.timeout if remaining_time is None else remaining_time
+        )
+
     def _admit(self, request: CallerRequest) -> tuple[Route | None, Reply | None]:
         """Return the route, if found, and the reply if the request is refused."""
         configuration = self._configuration.configuration
@@ -113,6 +211,8 @@
 
     def admit_relay(self, query: RelayQuery) -> tuple[Route, RouteLatency] | Cause:
         """Return the route of another host's query, or the cause of its refusal."""
+        if self._context.registry.reachability.is_cut_off:
+            return Cause.NO_CONNECTION
         configuration = self._configuration.configuration
         path = query.target.partition("?")[0]
         route = configuration and configuration.find_route(query.host, path)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -126,6 +126,26 @@
     assert choose_entry_hosts([EntryCandidate("1", "a", is_ready=False)], "a", {}) == ()
 
 
+@pytest.mark.parametrize(
+    ("cut_off", "expected"),
+    [
+        ("", "12"),
+        # Fewer than two of the data centre reach servers.
+        ("2", "134"),
+        ("12", "34"),
+        ("123", "1234"),
+        ("1234", "1234"),
+    ],
+)
+def test_callers_are_sent_to_entry_hosts_that_reach_servers(cut_off, expected):
+    hosts = [
+        EntryCandidate(name, data_centre, is_cut_off=name in cut_off)
+        for name, data_centre in [("1", "a"), ("2", "a"), ("3", "b"), ("4", "b")]
+    ]
+    addresses = choose_entry_hosts(hosts, "a", {"a": 5, "b": 5})
+    assert "".join(sorted(addresses)) == expected
+
+
 def test_gather_time_depends_on_link_and_processor():
     assert (
         estimate_gather_time(0.5, 10.0)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
@@ -313,6 +313,11 @@
     assert {host.name for host in choose_relays("own", "a", hosts)} == expected
 
 
+def test_hosts_that_reach_no_server_are_not_relays():
+    hosts = [make_status("h0"), make_status("h1", is_cut_off=True)]
+    assert [host.name for host in choose_relays("own", "a", hosts)] == ["h0"]
+
+
 def test_relays_are_spread_over_the_hosts_of_a_large_data_centre():
     hosts = [make_status(f"h{number}") for number in range(20)]
     chosen = [choose_relays(f"own-{n}", "a", hosts) for n in range(60)]
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -13,6 +13,7 @@
     choose_entry_hosts,
     estimate_gather_time,
 )
+from crocusbay_gateway.coordination.handover_client import HandoverClient
 from crocusbay_gateway.coordination.membership import (
     HEARTBEAT_INTERVAL_SECONDS,
     Membership,
@@ -23,6 +24,7 @@
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
 from crocusbay_gateway.coordination.server_limits import ServerLimits
+from crocusbay_gateway.coordination.server_prober import ServerProber
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.store import Store
 from crocusbay_gateway.coordination.store_watcher import StoreWatcher
@@ -129,6 +131,7 @@
             tasks.start_soon(self.store_watcher.watch_servers)
             tasks.start_soon(self.peering.maintain_host_list, self._store)
             tasks.start_soon(self.quarantine_store.run)
+            tasks.start_soon(self.server_prober.run)
             await self._stop_requested.wait()
             await self._finish_requests()
             self.log.info("stopped", left_out=self.log.dropped_lines)
@@ -158,6 +161,7 @@
             self.log,
             self.timers,
         )
+        self.handover = HandoverClient(self.membership, self.log, self.timers)
         context = Context(
             self._conventions,
             self.timers,
@@ -169,7 +173,19 @@
             RelayClients(self.membership, self.timers, self.log, tasks.start_soon),
         )
         self.request_service = RequestService(
-            context, self.configuration, self.servers, settings.cores
+            context,
+            self.configuration,
+            self.servers,
+            settings.cores,
+            self.handover,
+            tasks.start_soon,
+        )
+        self.server_prober = ServerProber(
+            self.registry.reachability,
+            self.registry,
+            self._on_reachability,
+            self.log,
+            self.timers,
         )
         self.configuration.subscribe(self._on_configuration)
         self.servers.subscribe(self._on_servers)
@@ -199,7 +215,8 @@
             self.server_limits,
             self._build_status,
             self._update_limit_shares,
-            self.request_service.relay_server,
+            self.request_service.handle_peer_query,
+            self.request_service.handle_peer_disconnect,
             self.log,
             self.timers,
             tasks.start_soon,
@@ -262,6 +279,12 @@
             self._has_been_ready = True
             self.log.info("ready", hosts=self.membership.host_count)
 
+    def _on_reachability(self) -> None:
+        """Tell other hosts whether this one reaches servers, and act on it."""
+        self.peering.send_heartbeat()
+        if self.registry.reachability.is_cut_off:
+            self.request_service.hand_over_running()
+
     def _log_store_state(self, is_reached: bool, reason: str) -> None:
         if is_reached:
             self.log.info("store-regained")
@@ -288,6 +311,8 @@
             servers_seen_revision=self.servers.seen_revision,
             servers_age=self.servers.age(now),
             servers_late_removals=self.servers.cursor[1],
+            is_cut_off=self.registry.reachability.is_cut_off,
+            accepts_handovers=True,
         )
 
     async def _send_heartbeats(self) -> None:
@@ -306,6 +331,7 @@
                 self.log.warning(
                     "host-lost", peer=status.name, beat=status.heartbeat_number
                 )
+            self.handover.close_lost()
             self._update_limit_shares()
             self.peering.send_heartbeat()
             self._set_gauges(now)
@@ -329,7 +355,9 @@
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live_hosts))
         self.metrics.running.set(self.request_service.running_count)
-        self.metrics.server_silence.set(now - self.registry.last_response_at)
+        self.metrics.server_silence.set(
+            now - self.registry.reachability.last_response_at
+        )
         self.metrics.view_age.set(self.configuration.age(now), "configuration")
         self.metrics.view_age.set(self.servers.age(now), "servers")
 
@@ -349,6 +377,7 @@
                 status.gather_time,
                 status.is_ready,
                 status.is_leaving,
+                status.is_cut_off,
             )
             for status in self.membership.live_hosts
         ]
@@ -360,6 +389,7 @@
                 self._gather_time,
                 self.is_ready,
                 self.is_leaving,
+                self.registry.reachability.is_cut_off,
             )
         )
         data_centre = self._entry_codec.data_centre_of(target)
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -1,5 +1,10 @@
 """HTTP/1.1 encoding and the messages exchanged between hosts."""
 
+from crocusbay_gateway.protocol.handover import (
+    HandoverCancel,
+    HandoverReply,
+    HandoverRequest,
+)
 from crocusbay_gateway.protocol.http_conventions import HttpConventions
 from crocusbay_gateway.protocol.http_messages import (
     HOP_BY_HOP_HEADERS,
@@ -27,6 +32,9 @@
 __all__ = [
     "HOP_BY_HOP_HEADERS",
     "CrashReport",
+    "HandoverCancel",
+    "HandoverReply",
+    "HandoverRequest",
     "Heartbeat",
     "HttpConventions",
     "KnownHost",
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -12,7 +12,8 @@
     store revision of the data that the host has, and `*_age` the time since the store
     last confirmed it. `servers_seen_revision` is the store revision up to which the
     server list is complete. `servers_late_removals` counts removals applied after all
-    other changes up to `servers_revision`.
+    other changes up to `servers_revision`. `is_cut_off` is whether the host reaches no
+    server, and `accepts_handovers` whether it serves requests for such hosts.
     """
 
     name: str
@@ -32,6 +33,8 @@
     servers_seen_revision: int = 0
     servers_age: float = 1e9
     servers_late_removals: int = 0
+    is_cut_off: bool = False
+    accepts_handovers: bool = False
 
     def is_newer_than(self, other: "HostStatus") -> bool:
         """Return whether this status supersedes the other one."""
--- a/packages/gateway/crocusbay_gateway/transport/__init__.py
+++ b/packages/gateway/crocusbay_gateway/transport/__init__.py
@@ -3,8 +3,10 @@
 from crocusbay_gateway.transport.caller_server import CallerServer
 from crocusbay_gateway.transport.http_pages import serve_pages
 from crocusbay_gateway.transport.peer import (
+    MAX_FRAME_BYTES,
     FrameConnection,
     PeerEndpoint,
+    connect_handover,
     connect_relay,
     fetch_view,
 )
@@ -13,6 +15,7 @@
 from crocusbay_gateway.transport.server_pool import Listening, ServerPool
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "CallerServer",
     "Exchange",
     "FrameConnection",
@@ -21,6 +24,7 @@
     "ReceiveBudget",
     "ServerConnection",
     "ServerPool",
+    "connect_handover",
     "connect_relay",
     "fetch_view",
     "serve_pages",
--- a/packages/gateway/crocusbay_gateway/transport/peer.py
+++ b/packages/gateway/crocusbay_gateway/transport/peer.py
@@ -16,6 +16,9 @@
 
 from crocusbay.state import split_address
 from crocusbay_gateway.protocol import (
+    HandoverCancel,
+    HandoverReply,
+    HandoverRequest,
     Heartbeat,
     RelayCancel,
     RelayQuery,
@@ -35,9 +38,12 @@
 MAX_HEARTBEAT_BYTES = 1_400
 
 _heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
-_query_decoder = msgspec.msgpack.Decoder(ViewQuery | RelayQuery | RelayCancel)
+_query_decoder = msgspec.msgpack.Decoder(
+    ViewQuery | RelayQuery | RelayCancel | HandoverRequest | HandoverCancel
+)
 _view_decoder = msgspec.msgpack.Decoder(ViewResponse)
 _relay_response_decoder = msgspec.msgpack.Decoder(RelayResponse)
+_handover_reply_decoder = msgspec.msgpack.Decoder(HandoverReply)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -129,7 +135,7 @@
         on_heartbeat: Callable[[Heartbeat], None],
         answer_view_query: Callable[[ViewQuery], ViewResponse],
         on_malformed: Callable[[str], None],
-        on_query: Callable[[FrameConnection, RelayQuery | RelayCancel], None],
+        on_query: Callable[[FrameConnection, msgspec.Struct], None],
         on_lost: Callable[[FrameConnection], None],
     ) -> None:
         self.sent_bytes = 0
@@ -198,13 +204,29 @@
     on_lost: Callable[[FrameConnection], None],
 ) -> FrameConnection:
     """Return a relay connection to a host; raise OSError or TimeoutError."""
+    return await _connect(address, _relay_response_decoder, on_response, on_lost)
+
+
+async def connect_handover(
+    address: str,
+    on_reply: Callable[[FrameConnection, HandoverReply], None],
+    on_lost: Callable[[FrameConnection], None],
+) -> FrameConnection:
+    """Return a handover connection to a host; raise OSError or TimeoutError."""
+    return await _connect(address, _handover_reply_decoder, on_reply, on_lost)
+
+
+async def _connect(
+    address: str,
+    decoder: msgspec.msgpack.Decoder,
+    on_message: Callable[[FrameConnection, Any], None],
+    on_lost: Callable[[FrameConnection], None],
+) -> FrameConnection:
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
     with anyio.fail_after(FETCH_TIMEOUT_SECONDS):
         _, connection = await loop.create_connection(
-            lambda: FrameConnection(_relay_response_decoder, on_response, on_lost),
-            ip,
-            port,
+            lambda: FrameConnection(decoder, on_message, on_lost), ip, port
         )
     return connection
 
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -110,7 +110,10 @@
         self._open_if_needed()
 
     def check_listening(self, on_result: Callable[[Listening], None]) -> None:
-        """Report whether a server accepts a connection, which may then be used."""
+        """Report whether a server accepts a connection, which may then be used.
+
+        A server with as many connections as this host may open counts as listening.
+        """
         self._timers.at(
             self._timers.now() + CHECK_DELAY_SECONDS,
             lambda: self._check_listening(on_result),
@@ -119,7 +122,14 @@
     def _check_listening(self, on_result: Callable[[Listening], None]) -> None:
         if len(self._open) >= self.connection_limit:
             on_result(Listening.ACCEPTED)
-            return
+        else:
+            self.probe(on_result)
+
+    def probe(self, on_result: Callable[[Listening], None]) -> None:
+        """Open a connection and report the result.
+
+        One that exceeds the limit is closed at once, any other one may be used.
+        """
 
         async def check() -> None:
             on_result(await self._connect())
