Quarantine a request as a whole once it has crashed three servers of a service

A gather that crashed the servers of one shard while the others responded was quarantined for that shard only; its copies went on to the other shards. The platform's rule counts each retry that reaches any server.

Cause: the quarantine was kept by service, so that the other shards could still reply. That is worth nothing to the caller of such a request, and the rule forbids it. Now three crashes of one service's servers, or three in all while none responded, refuse the request. What counts as a crash is as before: the server has ended, and no server of that service has responded to the request since.

In test_quarantine.py the rows now say whether the request is quarantined, instead of for which services; the row of three crashes of one service is stricter than before (refused by all, not by that service).

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -311,7 +311,7 @@
         Once a server has received the request, each further attempt consumes the retry
         budget, and None is also returned if `budget_share` of it is used up.
         """
-        if self.crashes.is_quarantined(service):
+        if self.crashes.is_quarantined():
             return None
         registry = self.context.registry
         server = history.choose_server(
--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -5,7 +5,6 @@
 
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.quarantine import (
-    ALL_SERVICES,
     Crash,
     Quarantine,
     request_fingerprint,
@@ -51,7 +50,7 @@
         """Record a crash that this host observed or that another host reported."""
         quarantine = self.quarantine
         is_known = crash.key in quarantine.crashes(fingerprint)
-        is_quarantined_further = quarantine.record_crash(fingerprint, crash, self.now())
+        is_newly_quarantined = quarantine.record_crash(fingerprint, crash, self.now())
         crashes = quarantine.crashes(fingerprint)
         fields = {
             "fingerprint": fingerprint,
@@ -68,7 +67,7 @@
             )
         if source == SOURCE_OWN:
             self._observed.add(fingerprint)
-        if is_quarantined_further:
+        if is_newly_quarantined:
             self._metrics.quarantines.inc(source)
             self._log.warning("quarantined", **fields)
             if fingerprint in self._observed:
@@ -139,12 +138,10 @@
         """Return the names of the servers that crashed."""
         return sorted(crash.server for crash in self._crashes)
 
-    def is_quarantined(self, service: str = ALL_SERVICES) -> bool:
-        """Return whether the request is quarantined for a service or for all."""
+    def is_quarantined(self) -> bool:
+        """Return whether the request is quarantined."""
         monitor = self._monitor
-        return monitor.quarantine.is_quarantined(
-            self.fingerprint, monitor.now(), service
-        )
+        return monitor.quarantine.is_quarantined(self.fingerprint, monitor.now())
 
     def suspect_reset(self, server: Server) -> None:
         """Record a crash if nothing listens at the server's address any more.
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -104,7 +104,7 @@
     def _unusable_verdict(self) -> NotRun:
         """Return why no server may receive the request."""
         registry = self._context.registry
-        if self._crashes.is_quarantined(self._service):
+        if self._crashes.is_quarantined():
             return NotRun(Cause.QUARANTINED)
         if not registry.has_server(self._service):
             return NotRun(Cause.NO_UPSTREAM)
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -129,7 +129,7 @@
 
     def _handle_unusable_shard(self, sub_request: SubRequestState) -> None:
         """Wait for the limits of a shard's servers, or leave the shard out."""
-        if self._crashes.is_quarantined(sub_request.service):
+        if self._crashes.is_quarantined():
             sub_request.failure = NotRun(Cause.QUARANTINED)
             self._fail(sub_request)
             return
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -22,8 +22,6 @@
 # Each crash is reported in the heartbeats of this period, and later only if the request
 # is quarantined, one request at a time.
 CRASH_SHARING_SECONDS = 3.0
-# Stands for all services among the services for which a request is quarantined.
-ALL_SERVICES = ""
 
 
 def request_fingerprint(request: CallerRequest) -> str:
@@ -64,18 +62,9 @@
     expires_at: float = 0.0
 
     @property
-    def quarantined_services(self) -> frozenset[str]:
-        """Return the services that must not run the request."""
-        counts: dict[str, int] = defaultdict(int)
-        for crash in self.crash_by_server.values():
-            counts[crash.service] += 1
-            if crash.is_unanswered:
-                counts[ALL_SERVICES] += 1
-        return frozenset(
-            service
-            for service, count in counts.items()
-            if count >= CRASHES_TO_QUARANTINE
-        )
+    def is_quarantined(self) -> bool:
+        """Return whether no server may run the request."""
+        return bool(self.decisive_crashes())
 
     def add(self, crash: Crash) -> None:
         """Add a crash unless a later response shows that it does not count."""
@@ -89,22 +78,28 @@
             self.crash_by_server[crash.key] = crash
 
     def decisive_crashes(self) -> list[Crash]:
-        """Return the crashes that another host needs to reach the same decision."""
-        crashes = list(self.crash_by_server.values())
-        unanswered = [crash for crash in crashes if crash.is_unanswered]
-        if len(unanswered) >= CRASHES_TO_QUARANTINE:
-            return unanswered[:CRASHES_TO_QUARANTINE]
-        services = self.quarantined_services
-        if services:
-            crashes = [crash for crash in crashes if crash.service in services]
-        return crashes
+        """Return the crashes that quarantine the request, or none if it is not."""
+        by_service: dict[str, list[Crash]] = defaultdict(list)
+        for crash in self.crash_by_server.values():
+            by_service[crash.service].append(crash)
+        unanswered = [
+            crash for crash in self.crash_by_server.values() if crash.is_unanswered
+        ]
+        for crashes in (unanswered, *by_service.values()):
+            if len(crashes) >= CRASHES_TO_QUARANTINE:
+                return crashes[:CRASHES_TO_QUARANTINE]
+        return []
+
+    def crashes_to_report(self) -> list[Crash]:
+        """Return the crashes that other hosts need to know."""
+        return self.decisive_crashes() or list(self.crash_by_server.values())
 
 
 class Quarantine:
     """Count the servers that each request crashed; times are in seconds.
 
-    A request is quarantined for a service after crashing three of its servers, and for
-    all services after crashing three servers while none responded to it.
+    A request is quarantined after crashing three servers of one service, also if other
+    services respond to it, or three servers while none responded.
     """
 
     def __init__(self) -> None:
@@ -119,12 +114,12 @@
         return self._by_fingerprint.keys()
 
     def record_crash(self, fingerprint: str, crash: Crash, now: float) -> bool:
-        """Record a crash; return whether the request is quarantined further by it."""
+        """Record a crash; return whether the request is quarantined by it."""
         if crash.crashed_at + CRASH_RETENTION_SECONDS < now:
             return False
         record = self._by_fingerprint.setdefault(fingerprint, _Record())
         crash_by_server = dict(record.crash_by_server)
-        services = record.quarantined_services
+        was_quarantined = record.is_quarantined
         record.add(crash)
         if record.crash_by_server == crash_by_server:
             return False
@@ -136,9 +131,10 @@
             self._forget(next(iter(self._by_fingerprint)))
         self._shared_until[fingerprint] = now + CRASH_SHARING_SECONDS
         self._shared_until.move_to_end(fingerprint, last=False)
-        if record.quarantined_services:
-            self._quarantined.setdefault(fingerprint)
-        return not record.quarantined_services <= services
+        if not record.is_quarantined:
+            return False
+        self._quarantined.setdefault(fingerprint)
+        return not was_quarantined
 
     def record_response(self, fingerprint: str, service: str, now: float) -> int:
         """Record that a server ran a request; return how many crashes this affects."""
@@ -152,20 +148,18 @@
             for key, crash in previous.items()
             if crash.service != service
         }
-        if not record.quarantined_services:
+        if not record.is_quarantined:
             self._quarantined.pop(fingerprint, None)
         return sum(
             record.crash_by_server.get(key) != crash for key, crash in previous.items()
         )
 
-    def is_quarantined(
-        self, fingerprint: str, now: float, service: str = ALL_SERVICES
-    ) -> bool:
-        """Return whether a request is quarantined for a service or for all."""
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request is quarantined."""
         record = self._by_fingerprint.get(fingerprint)
         if record is None or record.expires_at < now:
             return False
-        return not record.quarantined_services.isdisjoint((ALL_SERVICES, service))
+        return record.is_quarantined
 
     def crashes(self, fingerprint: str) -> dict[tuple[str, int], Crash]:
         """Return the known crashes of a request, by server."""
@@ -186,7 +180,7 @@
                 round(now - crash.crashed_at, 3),
                 crash.is_unanswered,
             )
-            for crash in record.decisive_crashes()
+            for crash in record.crashes_to_report()
         ]
 
     def reports_to_share(self, now: float) -> tuple[CrashReport, ...]:
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -84,7 +84,7 @@
             if server is None or server.health.is_misdirected(now):
                 self._add_failure(index, NotRun(Cause.NO_UPSTREAM), is_sent=False)
                 continue
-            if self._crashes.is_quarantined(sub_request.service):
+            if self._crashes.is_quarantined():
                 self._add_failure(index, NotRun(Cause.QUARANTINED), is_sent=False)
                 continue
             attempt = Attempt(
