Tell refused callers no time before the one that is known

A caller that was refused for a server's limit could be told to return up to half earlier than its turn, since the random factor that spreads callers was applied to known times as well.

--- a/packages/gateway/crocusbay_gateway/coordination/refusal.py
+++ b/packages/gateway/crocusbay_gateway/coordination/refusal.py
@@ -36,10 +36,12 @@
     within a third of it. `retry_after` is when the cause is expected to have ended
     (seconds), or 0 if that is only known from the kind of cause.
     """
-    retry_after = retry_after or RETRY_AFTER_SECONDS_BY_CAUSE.get(
-        cause, DEFAULT_RETRY_AFTER_SECONDS
-    )
-    retry_after *= random.uniform(1.0 - JITTER_RATIO, 1.0 + JITTER_RATIO)
+    if retry_after:
+        retry_after *= random.uniform(1.0, 1.0 + JITTER_RATIO)
+    else:
+        retry_after = RETRY_AFTER_SECONDS_BY_CAUSE.get(
+            cause, DEFAULT_RETRY_AFTER_SECONDS
+        ) * random.uniform(1.0 - JITTER_RATIO, 1.0 + JITTER_RATIO)
     if remaining_time is not None and cause is not Cause.QUARANTINED:
         retry_after = min(retry_after, max(0.01, remaining_time / 3))
     return Reply(
