Finish requests of other hosts before a planned stop, and choose targets in one pass

Found by reading: a host that stops waited for its own callers' requests only, not for those that other hosts had handed over; a request of more than 0.7 of the stop time would have been cut. No test: the soak's callers wait for less than that. The targets of a handover are chosen without sorting all hosts.

--- a/packages/gateway/crocusbay_gateway/coordination/handover_client.py
+++ b/packages/gateway/crocusbay_gateway/coordination/handover_client.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable
+from heapq import nsmallest
 from itertools import count
 
 import anyio
@@ -20,18 +21,22 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 
 
-def choose_targets(hosts: Iterable[HostStatus]) -> list[HostStatus]:
-    """Return the hosts that may serve requests for this one, in random order."""
-    able = [
-        host
-        for host in hosts
-        if host.accepts_handovers
+def is_target(host: HostStatus) -> bool:
+    """Return whether a host may serve requests for one that reaches no server."""
+    return (
+        host.accepts_handovers
         and host.is_ready
         and not host.is_leaving
         and not host.is_cut_off
-    ]
-    able.sort(key=lambda host: host.load)
-    return random.sample(able[:MAX_TARGETS], min(MAX_TARGETS, len(able)))
+    )
+
+
+def choose_targets(hosts: Iterable[HostStatus]) -> list[HostStatus]:
+    """Return the hosts that may serve requests for this one, in random order."""
+    targets = nsmallest(
+        MAX_TARGETS, filter(is_target, hosts), key=lambda host: host.load
+    )
+    return random.sample(targets, len(targets))
 
 
 class _Pending:
@@ -84,7 +89,7 @@
     @property
     def has_target(self) -> bool:
         """Return whether any host may serve requests for this one."""
-        return bool(choose_targets(self._membership.live_hosts))
+        return any(map(is_target, self._membership.live_hosts))
 
     def close_lost(self) -> None:
         """Close the connections to hosts that are lost, and fail their requests."""
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -242,10 +242,18 @@
         while self.timers.now() < serve_until:
             await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.caller_server.close()
-        while self.caller_server.requests_in_progress and self.timers.now() < finish_by:
+        while self._has_requests and self.timers.now() < finish_by:
             await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.registry.close()
 
+    @property
+    def _has_requests(self) -> bool:
+        """Return whether requests of callers or of other hosts are in progress."""
+        return bool(
+            self.caller_server.requests_in_progress
+            or self.request_service.running_count
+        )
+
     def _limits(self) -> Limits:
         configuration = self.configuration.configuration
         return configuration.limits if configuration else Limits()
