--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_limits.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_limits.py
@@ -3,15 +3,23 @@
 import msgspec
 import pytest
 
+from crocusbay_gateway.coordination.attempt import RouteLatency
+from crocusbay_gateway.coordination.gather import ScatterGatherHandler
+from crocusbay_gateway.coordination.partial import PartialAnswerPolicy
 from crocusbay_gateway.coordination.server_limits import RETENTION_SECONDS
 from crocusbay_gateway.coordination.stated_limit import (
     MAX_RETRY_AFTER_SECONDS,
     ServerLimit,
     StatedLimit,
 )
-from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
+from crocusbay_gateway.coordination.tests.simulation import (
+    SimulatedGateway,
+    make_request,
+    make_route,
+    run_to_completion,
+)
 from crocusbay_gateway.protocol import ServerLimitReport
-from crocusbay_gateway.state import ServerResponse
+from crocusbay_gateway.state import ServerResponse, ToShards
 
 pytestmark = pytest.mark.anyio
 
@@ -23,6 +31,14 @@
     gateway.context.server_limits.record_response(server, response)
 
 
+def exhaust_limits(gateway, shards):
+    """Use up the limits of all servers of some shards; they allow a send in 1 s."""
+    now = gateway.timers.now()
+    for shard in shards:
+        for server in gateway.registry.by_service[shard]:
+            server.limit = ServerLimit(StatedLimit(1.0, now), 1.0, now, phase=0.9)
+
+
 def logged_events(gateway, event):
     gateway.context.log.info("end")
     lines = os.read(gateway.log_pipe, 1 << 20).splitlines()
@@ -117,6 +133,41 @@
     assert limit.delay(now) == 0.0
 
 
+@pytest.mark.parametrize(
+    ("limited_shards", "waiting_time", "status", "parts"),
+    [
+        (0, 0.0, 200, 10),
+        # Parts that can't be sent for in time are left out.
+        (2, 0.0, 200, 8),
+        # Too few remain: none of the other shards is asked.
+        (3, 0.0, 503, 0),
+        # The next send is due within the goal, and is waited for.
+        (2, 0.95, 200, 10),
+    ],
+)
+async def test_gather_is_refused_if_limits_leave_too_few_shards(
+    limited_shards, waiting_time, status, parts
+):
+    shards = tuple(f"s{number}" for number in range(10))
+    gateway = SimulatedGateway({shard: [(f"{shard}-a", "a")] for shard in shards})
+    exhaust_limits(gateway, shards[:limited_shards])
+    await gateway.timers.advance(waiting_time)
+    route = make_route(ToShards(shards, 3, 0.8))
+    now = gateway.timers.now()
+    handler = ScatterGatherHandler(
+        gateway.context,
+        make_request(gateway),
+        route,
+        RouteLatency(route.latency_goal),
+        PartialAnswerPolicy(now + 0.13, now + 1.0, len(shards), 8),
+    )
+    reply, elapsed = await run_to_completion(gateway, handler)
+    assert reply.status == status
+    assert sum(gateway.received_counts().values()) == parts
+    assert elapsed < (route.latency_goal if status == 200 else 0.01)
+    assert (reply.retry_after is not None) == (status == 503)
+
+
 def test_refused_callers_return_one_after_the_other():
     limit = ServerLimit(StatedLimit(10.0, 0.0), 0.5, 0.0)
     for _ in range(3):
