Name hosts elsewhere to a data centre whose hosts reach no server

If all hosts of one were cut off, the others there knew none that reaches servers: callers stayed, and were refused.

Such bridges now name up to four hosts elsewhere that reach servers in each heartbeat, while fewer than two hosts of their data centre do. They are given to callers and handed requests. With twelve hosts or fewer nothing changes, as all hear from all.

--- a/packages/gateway/crocusbay_gateway/coordination/handover_client.py
+++ b/packages/gateway/crocusbay_gateway/coordination/handover_client.py
@@ -89,12 +89,12 @@
     @property
     def has_target(self) -> bool:
         """Return whether any host may serve requests for this one."""
-        return any(map(is_target, self._membership.live_hosts))
+        return any(map(is_target, self._membership.known_hosts))
 
     def close_lost(self) -> None:
         """Close the connections to hosts that are lost, and fail their requests."""
-        live = {status.peer_address for status in self._membership.live_hosts}
-        for address in self._channel_by_address.keys() - live:
+        known = {status.peer_address for status in self._membership.known_hosts}
+        for address in self._channel_by_address.keys() - known:
             channel = self._channel_by_address.pop(address)
             if channel.connection is not None:
                 channel.connection.abort()
@@ -109,7 +109,7 @@
         """
         verdict: Verdict = NotRun(Cause.NO_UPSTREAM)
         name = ""
-        targets = choose_targets(self._membership.live_hosts)
+        targets = choose_targets(self._membership.known_hosts)
         for number, target in enumerate(targets[:MAX_TRIES], 1):
             may_retry = is_idempotent and number < min(MAX_TRIES, len(targets))
             result = await self._try(
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -31,6 +31,12 @@
 MIN_HOST_COUNT = 3
 # Fraction of an even share that a host without load has.
 MIN_LOAD_SHARE_FRACTION = 0.1
+# With fewer hosts that reach servers, a data centre needs the help of others.
+MIN_LOCAL_HOSTS = 2
+# Hosts of other data centres named in one heartbeat, so that it fits into a datagram.
+MAX_SHARED_REMOTE_HOSTS = 4
+# A host that no heartbeat has named for this time no longer counts.
+REMOTE_RETENTION_SECONDS = 2.0
 # Contacts in one heartbeat, limited so that it fits into one datagram.
 MAX_SHARED_CONTACTS = 16
 
@@ -61,6 +67,8 @@
         self.incarnation = incarnation
         self.by_name: dict[str, MemberRecord] = {}
         self.contacts_by_name: dict[str, KnownHost] = {}
+        # Hosts of other data centres that hosts of this one have named.
+        self._remote_by_name: dict[str, MemberRecord] = {}
         # Requests per second that this host receives from callers.
         self.own_load = 0.0
         self._host_counts_by_data_centre: dict[str, int] = {}
@@ -73,6 +81,17 @@
         """Return the hosts that are not lost, including those that are leaving."""
         return [record.status for record in self.by_name.values() if not record.is_lost]
 
+    @property
+    def known_hosts(self) -> list[HostStatus]:
+        """Return the hosts that are not lost, and those that other hosts have named."""
+        live = self.live_hosts
+        live_names = {status.name for status in live}
+        return live + [
+            record.status
+            for name, record in self._remote_by_name.items()
+            if name not in live_names
+        ]
+
     @property
     def host_counts_by_data_centre(self) -> dict[str, int]:
         """Return the number of hosts per data centre, including recently lost ones."""
@@ -177,10 +196,38 @@
                 and sender_data_centre in (data_centre, self.data_centre)
             )
 
+    def remote_hosts_to_share(self, *, is_cut_off: bool) -> tuple[HostStatus, ...]:
+        """Return hosts elsewhere for hosts of this data centre, if those need them.
+
+        Only bridges know hosts elsewhere, unless there are few hosts.
+        """
+        if len(self.contacts_by_name) <= MAX_FULL_MESH:
+            return ()
+        reaching = [status for status in self.live_hosts if not status.is_cut_off]
+        local = [each for each in reaching if each.data_centre == self.data_centre]
+        if len(local) + (not is_cut_off) >= MIN_LOCAL_HOSTS:
+            return ()
+        remote = [each for each in reaching if each.data_centre != self.data_centre]
+        return tuple(random.sample(remote, min(MAX_SHARED_REMOTE_HOSTS, len(remote))))
+
+    def learn_remote_hosts(
+        self, sender_data_centre: str, statuses: tuple[HostStatus, ...], now: float
+    ) -> None:
+        """Store hosts that a host of this data centre has named."""
+        if sender_data_centre == self.data_centre:
+            for status in statuses:
+                if status.name != self.name:
+                    self._remote_by_name[status.name] = MemberRecord(status, now)
+
     def expire(self, now: float) -> list[HostStatus]:
         """Mark silent hosts as lost and return them; delete those past retention."""
         lost = []
         loss_timeout = self.loss_timeout
+        self._remote_by_name = {
+            name: record
+            for name, record in self._remote_by_name.items()
+            if now - record.last_heartbeat_at <= REMOTE_RETENTION_SECONDS
+        }
         for name, record in list(self.by_name.items()):
             silence = now - record.last_heartbeat_at
             if silence > LOST_HOST_RETENTION_SECONDS:
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -101,13 +101,15 @@
 
     def _make_heartbeat(self, *, includes_contacts: bool) -> Heartbeat:
         membership = self._membership
+        status = self._build_status(self._heartbeat_number, self.address)
         return Heartbeat(
-            self._build_status(self._heartbeat_number, self.address),
+            status,
             membership.sample_contacts() if includes_contacts else (),
             self._crash_monitor.quarantine.reports_to_share(self._timers.now()),
             membership.host_counts_by_data_centre if includes_contacts else {},
             self._server_limits.reports_to_share(),
             membership.loads_by_data_centre if includes_contacts else {},
+            membership.remote_hosts_to_share(is_cut_off=status.is_cut_off),
         )
 
     def _seed_addresses(self) -> list[str]:
@@ -132,6 +134,9 @@
             heartbeat.host_counts_by_data_centre,
             heartbeat.loads_by_data_centre,
         )
+        self._membership.learn_remote_hosts(
+            status.data_centre, heartbeat.remote_hosts, now
+        )
         self._server_limits.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
         self._compare_views(status, now)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -16,6 +16,7 @@
 from crocusbay_gateway.coordination.health import ServerHealth
 from crocusbay_gateway.coordination.membership import (
     LOST_HOST_RETENTION_SECONDS,
+    REMOTE_RETENTION_SECONDS,
     Membership,
 )
 from crocusbay_gateway.coordination.partial import Decision, PartialAnswerPolicy
@@ -266,6 +267,28 @@
     assert membership.load_share == 0.1
 
 
+@pytest.mark.parametrize(
+    ("local_cut_off", "own_cut_off", "is_shared"),
+    [(0, False, False), (12, False, True), (12, True, True), (11, False, False)],
+)
+def test_hosts_elsewhere_are_named_to_a_data_centre_that_reaches_no_server(
+    local_cut_off, own_cut_off, is_shared
+):
+    bridge, local = (Membership(name, "a", 1) for name in ("bridge", "local"))
+    for number in range(12):
+        is_cut_off = number < local_cut_off
+        bridge.update(status(f"a-{number}", "a", is_cut_off=is_cut_off), 0.0)
+    bridge.update(status("b-0", "b"), 0.0)
+    bridge.update(status("b-1", "b", is_cut_off=True), 0.0)
+    shared = bridge.remote_hosts_to_share(is_cut_off=own_cut_off)
+    assert [each.name for each in shared] == (["b-0"] if is_shared else [])
+    local.learn_remote_hosts("a", shared, 0.0)
+    local.learn_remote_hosts("c", (status("c-0", "c"),), 0.0)
+    assert local.known_hosts == list(shared)
+    local.expire(REMOTE_RETENTION_SECONDS + 0.1)
+    assert local.known_hosts == []
+
+
 def test_silent_host_is_marked_lost_and_later_deleted_once():
     membership = Membership("host-0", "a", 1)
     membership.update(status("host-1"), 0.0)
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -387,7 +387,7 @@
                 status.is_leaving,
                 status.is_cut_off,
             )
-            for status in self.membership.live_hosts
+            for status in self.membership.known_hosts
         ]
         candidates.append(
             EntryCandidate(
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -45,7 +45,8 @@
     """Publish the sender's status, known hosts, crash reports and servers' limits.
 
     `host_counts_by_data_centre` and `loads_by_data_centre` (requests per second)
-    include hosts that were lost recently.
+    include hosts that were lost recently. `remote_hosts` reach servers from other data
+    centres, while hardly any host of the sender's data centre does.
     """
 
     sender: HostStatus
@@ -54,6 +55,7 @@
     host_counts_by_data_centre: dict[str, int] = {}
     server_limits: tuple[ServerLimitReport, ...] = ()
     loads_by_data_centre: dict[str, float] = {}
+    remote_hosts: tuple[HostStatus, ...] = ()
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
--- a/packages/standins/crocusbay_standins/emulator/tests/test_host_without_servers.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_host_without_servers.py
@@ -9,6 +9,7 @@
 from crocusbay_standins.soak.servers import SERVERS_IP
 
 HOSTS = 7
+MANY_HOSTS = 18
 DATA_CENTRES = ("a", "b", "c")
 CALLER_RATE = 30.0
 CUT_SECONDS = 10.0
@@ -83,26 +84,28 @@
 
 
 @pytest.mark.parametrize(
-    ("choose_hosts", "cut", "kinds"),
+    ("choose_hosts", "cut", "kinds", "hosts"),
     [
-        (most, partition, GATHERS),
-        (most, partition, FETCHES),
-        (most, partition, ORDERS),
-        (most, refuse, GATHERS),
-        (most, refuse, FETCHES),
-        (one_data_centre, reset, GATHERS),
-        (one_data_centre, partition, FETCHES),
-        (one_data_centre, refuse, GATHERS + FETCHES + ORDERS),
-        (all_but_one, partition, GATHERS + FETCHES + ORDERS),
+        (most, partition, GATHERS, HOSTS),
+        (most, partition, FETCHES, HOSTS),
+        (most, partition, ORDERS, HOSTS),
+        (most, refuse, GATHERS, HOSTS),
+        (most, refuse, FETCHES, HOSTS),
+        (one_data_centre, reset, GATHERS, HOSTS),
+        (one_data_centre, partition, FETCHES, HOSTS),
+        (one_data_centre, refuse, GATHERS + FETCHES + ORDERS, HOSTS),
+        (all_but_one, partition, GATHERS + FETCHES + ORDERS, HOSTS),
+        # Too many hosts for each to send heartbeats to all.
+        (one_data_centre, partition, GATHERS + FETCHES, MANY_HOSTS),
     ],
 )
 def test_callers_of_hosts_that_reach_no_server_are_served(
-    loop, tmp_path, choose_hosts, cut, kinds
+    loop, tmp_path, choose_hosts, cut, kinds, hosts
 ):
     """Simulate callers that know no other address than that of such a host."""
 
     async def main():
-        deployment = Deployment(tmp_path, HOSTS, DATA_CENTRES)
+        deployment = Deployment(tmp_path, hosts, DATA_CENTRES)
         await deployment.start()
         at_cut_off, others = await cut_off(deployment, choose_hosts, cut, kinds)
         ratio = len(served(at_cut_off)) / len(at_cut_off)
