Test that a relay drops no record that the reply needs

A relay compares the parts of its data centre and drops records that can't be among the greatest. If a hedge brings a shard's part from another server, with other records, the relay's own part of that shard is not used, while the others lack what was dropped because of it.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
@@ -183,6 +183,36 @@
     assert handler.hedges <= 1
 
 
+@pytest.mark.anyio
+async def test_records_dropped_by_a_relay_are_not_missing_from_the_reply():
+    """Simulate a relay that compares parts with one for which another one is used."""
+    topology = RelayTopology()
+    late_shard = SHARDS[0]
+    for shard in SHARDS:
+        # The servers in data centre a are asked first.
+        for server in topology.gateway.registry.by_service[shard]:
+            if server.entry.data_centre == "b":
+                server.health.in_flight = 1
+        body = b"".join(f"{shard}{number:02}".encode() * 4 for number in range(TOP_K))
+        topology.set_script(f"{shard}-a", body=body, delay=0.061)
+        topology.set_script(f"{shard}-b", body=body, delay=0.061)
+    # A hedge wins, so the greater records of the server asked first are not used.
+    topology.set_script(f"{late_shard}-a", body=b"z" * 16 * TOP_K, delay=0.060)
+    topology.set_script(f"{late_shard}-b", body=b"a" * 16, delay=0.005)
+    reply, _ = await run_to_completion(topology.gateway, topology.make_handler())
+    signatures = part_signatures(reply)
+    assert f"sig-{late_shard}-b".encode() in signatures
+    bodies = [
+        topology.gateway.pool_by_server[name.removeprefix(b"sig-").decode()].script.body
+        for name in signatures
+    ]
+    records = sorted(
+        (body[at : at + 16] for body in bodies for at in range(0, len(body), 16)),
+        reverse=True,
+    )
+    assert reply.body == b"".join(records[:TOP_K])
+
+
 @pytest.mark.anyio
 async def test_relayed_sub_request_that_fails_is_retried_at_once():
     topology = RelayTopology()
