Use the part that a relay has compared others with

A gathered answer could lack records of the parts that it named (MIXED): a hedge brought a shard's part from another server, with other records, before the relay's own part of that shard, to which the relay had already compared the other shards' parts.

Cause: the relay drops records by all parts of its query, but the requesting host was free not to use one of them. The class: a decision made with data that another party may discard.

Change: parts of hedges and retries take no part in the comparison, as they may not be used; the part of a first attempt, once it arrives, replaces that of a hedge. A relay sends the parts that it compared in order, so none arrives before the one that shortened it. If the first attempt was cancelled while its part was on the way, parts that come with it or after it fail.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -193,8 +193,16 @@
         self._context.registry.reachability.record_attempt(self._started_at)
         self.server.pool.submit(self.exchange)
 
+    @property
+    def is_merged_by_relay(self) -> bool:
+        """Return whether a relay compares the response with those of other shards."""
+        return bool(self.exchange.relay) and not self.is_extra
+
     def abandon(self, *, immediately: bool) -> None:
-        """Ignore the response; cancel immediately or after a grace period."""
+        """Cancel immediately or after a grace period.
+
+        The response is ignored, except that of an attempt merged by a relay.
+        """
         exchange = self.exchange
         if exchange.is_done:
             return
@@ -209,7 +217,8 @@
             self._cancel()
             return
         # The attempt counts towards the server's load until it ends or is cancelled.
-        exchange.replace_callback(self._finish_abandoned)
+        if not self.is_merged_by_relay:
+            exchange.replace_callback(self._finish_abandoned)
         self._context.timers.at(
             now + ABANDONED_ATTEMPT_GRACE_SECONDS, self._cancel_after_grace
         )
--- a/packages/gateway/crocusbay_gateway/coordination/dispatch.py
+++ b/packages/gateway/crocusbay_gateway/coordination/dispatch.py
@@ -43,11 +43,14 @@
     def send_first(self, attempts: Sequence[Attempt], latency: RouteLatency) -> None:
         """Send the first attempt of every shard."""
         flush_after = flush_delay(latency.median.value, latency.hedge_delay)
-        self._send(attempts, MIN_RELAYED_PARTS, flush_after)
+        self._send(attempts, MIN_RELAYED_PARTS, flush_after, merges_parts=True)
 
     def send_extras(self, attempts: Sequence[Attempt]) -> None:
-        """Send hedges or retries; relays return their responses without batching."""
-        self._send(attempts, MIN_RELAYED_EXTRAS, 0.0)
+        """Send hedges or retries; relays return their responses without batching.
+
+        Their parts may not be used, so relays don't compare other parts with them.
+        """
+        self._send(attempts, MIN_RELAYED_EXTRAS, 0.0, merges_parts=False)
 
     def is_awaiting_relay(self, attempt: Attempt) -> bool:
         """Return whether an attempt was relayed and its relay has not responded yet."""
@@ -55,7 +58,12 @@
         return call is not None and not call.has_response
 
     def _send(
-        self, attempts: Sequence[Attempt], min_group_size: int, flush_after: float
+        self,
+        attempts: Sequence[Attempt],
+        min_group_size: int,
+        flush_after: float,
+        *,
+        merges_parts: bool,
     ) -> None:
         """Relay groups of `min_group_size` or more attempts; send others directly."""
         attempts_by_data_centre = group_by_data_centre(
@@ -71,13 +79,18 @@
             relay = self._context.relays.choose(data_centre)
             if relay is not None:
                 relayed.update(group)
-                self._relay(relay, group, flush_after)
+                self._relay(relay, group, flush_after, merges_parts=merges_parts)
         for attempt in attempts:
             if attempt not in relayed:
                 attempt.send()
 
     def _relay(
-        self, relay: RelayClient, group: list[Attempt], flush_after: float
+        self,
+        relay: RelayClient,
+        group: list[Attempt],
+        flush_after: float,
+        *,
+        merges_parts: bool,
     ) -> None:
         sub_requests = [
             (
@@ -96,5 +109,6 @@
             flush_after,
             self._top_k,
             self._fingerprint,
+            merges_parts=merges_parts,
         )
         self._call_by_attempt.update(dict.fromkeys(group, call))
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -230,9 +230,15 @@
         sub_request.history.record_end(
             attempt, may_have_run=not isinstance(verdict, NotRun)
         )
-        if sub_request.signature or self._is_done:
+        if self._is_done:
+            return
+        is_part = isinstance(verdict, Ran) and self._is_valid_part(verdict.response)
+        if sub_request.signature:
+            # The relay has compared the other shards' parts with this one.
+            if is_part and attempt.is_merged_by_relay:
+                self._set_part(sub_request, verdict.response)
             return
-        if isinstance(verdict, Ran) and self._is_valid_part(verdict.response):
+        if is_part:
             self._handle_part(sub_request, verdict.response)
         else:
             self._handle_failure(sub_request, attempt, verdict)
@@ -244,12 +250,10 @@
     def _handle_part(
         self, sub_request: SubRequestState, response: ServerResponse
     ) -> None:
-        sub_request.signature = response.signature
         if not sub_request.is_failed:
             self._pending_count -= 1
         sub_request.is_failed = False
-        # Sorting each part on arrival leaves little work after the last one.
-        sub_request.records = greatest_records(response.body, self._target.top_k)
+        self._set_part(sub_request, response)
         self._received_count += 1
         for attempt in sub_request.open_attempts:
             attempt.abandon(immediately=False)
@@ -257,6 +261,11 @@
         if self._received_count == 1:
             self._retry_deferred()
 
+    def _set_part(self, sub_request: SubRequestState, response: ServerResponse) -> None:
+        sub_request.signature = response.signature
+        # Sorting each part on arrival leaves little work after the last one.
+        sub_request.records = greatest_records(response.body, self._target.top_k)
+
     def _handle_failure(
         self, sub_request: SubRequestState, attempt: Attempt, verdict: Verdict
     ) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/relay_call.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_call.py
@@ -42,8 +42,12 @@
         exchanges: Sequence[Exchange],
         now: float,
         on_cancelled: Callable[["RelayCall"], None],
+        *,
+        merges_parts: bool,
     ) -> None:
         self.query_id = query_id
+        self._merges_parts = merges_parts
+        self._may_lack_records = False
         self.response_timer: Timer | None = None
         self._on_cancelled = on_cancelled
         self._cancelled_indices: list[int] = []
@@ -67,11 +71,19 @@
         return all(channel.current_exchange is None for channel in self._channels)
 
     def handle_response(self, response: RelayResponse) -> None:
-        """Deliver the parts and failures of a response to their exchanges."""
+        """Deliver the parts and failures of a response to their exchanges.
+
+        Parts may lack records that the relay dropped because of a part that comes with
+        them or came before. If that one was cancelled meanwhile, they fail.
+        """
         self.cancel_response_timer()
-        for part in response.parts:
-            exchange = self._detach(part.sub_request_index)
-            if exchange is not None:
+        exchanges = [self._detach(part.sub_request_index) for part in response.parts]
+        if self._merges_parts and None in exchanges:
+            self._may_lack_records = True
+        for part, exchange in zip(response.parts, exchanges, strict=True):
+            if exchange is not None and self._may_lack_records:
+                exchange.fail(Cause.CANCELLED, "relay compared a cancelled part")
+            elif exchange is not None:
                 exchange.server_time = part.elapsed + ROUND_TRIP_SECONDS
                 exchange.finish(
                     Ran(ServerResponse(200, b"", (), part.records, part.signature))
--- a/packages/gateway/crocusbay_gateway/coordination/relay_client.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_client.py
@@ -73,6 +73,8 @@
         flush_after: float,
         top_k: int,
         fingerprint: str,
+        *,
+        merges_parts: bool,
     ) -> RelayCall:
         """Send sub-requests through the relay; their exchanges receive the verdicts.
 
@@ -87,6 +89,7 @@
             lambda call: self._timers.at(
                 self._timers.now(), lambda: self._send_cancellations(connection, call)
             ),
+            merges_parts=merges_parts,
         )
         self._call_by_connection[connection] = call
         call.response_timer = self._timers.at(
@@ -107,6 +110,7 @@
                 top_k,
                 tuple(sub_request for sub_request, _ in sub_requests),
                 fingerprint,
+                merges_parts,
             )
         )
         return call
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -8,7 +8,7 @@
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.crash_monitor import RequestCrashes
 from crocusbay_gateway.coordination.quarantine import request_fingerprint
-from crocusbay_gateway.coordination.records import TopRecords
+from crocusbay_gateway.coordination.records import TopRecords, greatest_records
 from crocusbay_gateway.protocol import (
     RelayCancel,
     RelayedFailure,
@@ -171,9 +171,12 @@
     def _flush(self) -> None:
         if self._has_ended:
             return
-        merged = self._top_records.merge(
-            [response.body for _, _, response in self._parts]
-        )
+        bodies = [response.body for _, _, response in self._parts]
+        if self._query.merges_parts:
+            merged = self._top_records.merge(bodies)
+        else:
+            top_k = self._query.top_k
+            merged = [b"".join(greatest_records(body, top_k)) for body in bodies]
         parts = tuple(
             RelayedPart(index, elapsed, response.signature, records)
             for (index, elapsed, response), records in zip(
--- a/packages/gateway/crocusbay_gateway/protocol/relay.py
+++ b/packages/gateway/crocusbay_gateway/protocol/relay.py
@@ -18,7 +18,8 @@
     Responses received within `flush_after` are returned in one batch, later ones one by
     one. `remaining_time` is the time left for the servers. `top_k` is the number of
     records in the reply to the caller. `fingerprint` is the same for all copies of the
-    caller's request; hosts of older versions send none.
+    caller's request; hosts of older versions send none. With `merges_parts`, records
+    are dropped that can't be among the greatest of all parts of the query.
     """
 
     query_id: int
@@ -33,6 +34,7 @@
     top_k: int
     sub_requests: tuple[RelayedSubRequest, ...]
     fingerprint: str = ""
+    merges_parts: bool = True
 
 
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True, tag="leave"):
