Log lists of the store, and configurations that are read and not newer

The logs couldn't tell a change of the configuration that is read and ignored from one that isn't read.

--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
 )
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
+from crocusbay_gateway.log import EventLog
 
 # A change is read within one interval, well within the three seconds after which the
 # platform requires it to be in force.
@@ -70,6 +71,7 @@
         timers: TimerService,
         on_change: Callable[[str], None],
         on_store_state: Callable[[bool, str], None],
+        log: EventLog,
     ) -> None:
         self._store = store
         self._configuration = configuration
@@ -78,6 +80,7 @@
         self._timers = timers
         self._on_change = on_change
         self._on_store_state = on_store_state
+        self._log = log
         self._started_at = timers.now()
         self._configuration_seen_revision = 0
         self._consecutive_failures = 0
@@ -160,12 +163,21 @@
                 confirmed_at = self._timers.now()
             except RevisionExpiredError:
                 change = await self._store.read_configuration()
+                self._log_list("configuration", seen_revision, change.seen_revision)
         self._configuration_seen_revision = max(
             self._configuration_seen_revision, change.seen_revision
         )
         revision = change.revision or view.revision
         if view.update(revision, change.configuration, confirmed_at):
             self._on_change("configuration")
+        elif change.configuration is not None:
+            self._log.info(
+                "configuration-not-newer",
+                version=change.configuration.version,
+                revision=revision,
+                known_version=view.configuration.version,
+                known_revision=view.revision,
+            )
 
     async def _poll_servers(self) -> None:
         view = self._servers
@@ -181,6 +193,7 @@
             except RevisionExpiredError:
                 change = await self._store.list_servers()
                 apply = view.replace_all
+                self._log_list("servers", view.seen_revision, change.seen_revision)
         now = self._timers.now()
         if now - confirmed_at > OVERDUE_POLL_SECONDS:
             self._last_failure_at = now
@@ -192,3 +205,9 @@
         )
         if view.cursor > previous_cursor:
             self._on_change("servers")
+
+    def _log_list(self, view: str, known_revision: int, seen_revision: int) -> None:
+        """Log that a view is listed, as the changes since its revision are unknown."""
+        self._log.info(
+            "store-listed", view=view, known=known_revision, revision=seen_revision
+        )
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -197,6 +197,7 @@
             self.timers,
             lambda view: self.peering.send_heartbeat(),
             self._log_store_state,
+            self.log,
         )
         self.caller_server = CallerServer(
             self.request_service.handle,
