Test that changes after a restore of the store are in force

The stand-in store can go back to an older copy: its era rises, revisions are given out again, a watch from a revision that it doesn't have gets 410, and entries of servers that don't write again expire. 21 cases fail on the present code and are listed: changes ignored at revisions that were given out again, versions that stay behind, servers that left and are used again, lists in a loop, and crash reports that aren't written again.

--- a/packages/gateway/crocusbay_gateway/state/settings.py
+++ b/packages/gateway/crocusbay_gateway/state/settings.py
@@ -10,7 +10,8 @@
     Hedges and retries are extra attempts, beyond the first one of each sub-request.
     Those sent to a service by all hosts together in any `retry_budget_window` are
     limited to `retry_budget_burst` plus `retry_budget_ratio` times the first attempts.
-    `entry_lifetime` limits how long callers cache the addresses of hosts.
+    `entry_lifetime` limits how long callers cache the addresses of hosts. The store
+    drops the entry of a server that has not written it for `server_lease`.
     """
 
     drain_time: float = 3.0
@@ -20,6 +21,7 @@
     retry_budget_burst: float = 50.0
     retry_budget_window: float = 10.0
     entry_lifetime: float = 5.0
+    server_lease: float = 3.6
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -12,6 +12,7 @@
 from crocusbay_platform.names import SETTINGS_VARIABLE
 from crocusbay_platform.settings import encode_settings
 from crocusbay_standins.soak.proxy import Proxy
+from crocusbay_standins.soak.store import SERVER_LEASE_SECONDS
 
 BOUNDS = Bounds(
     drain_time=3.0,
@@ -21,6 +22,7 @@
     retry_budget_burst=60.0,
     retry_budget_window=10.0,
     entry_lifetime=2.0,
+    server_lease=SERVER_LEASE_SECONDS,
 )
 SEED_HOSTS = 2
 HOST_PROGRAM = "from crocusbay_platform.main import main; main({metrics_port})"
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 from enum import StrEnum
 from urllib.parse import parse_qs, urlsplit
 
@@ -14,6 +15,7 @@
     AFTER_PARAMETER,
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    ERA_HEADER,
     OBJECTS_PATH,
     SERVERS_KIND,
     WAIT_MS_PARAMETER,
@@ -31,6 +33,8 @@
 
 PAGE_SIZE_OBJECTS = 50
 MAX_HISTORY_EVENTS = 400
+# Entries of servers that are not written again expire after a restore.
+SERVER_LEASE_SECONDS = 1.5
 
 
 class Outage(StrEnum):
@@ -46,11 +50,22 @@
 _STATUS_BY_OUTAGE = {Outage.UNAVAILABLE: 503, Outage.TOO_MANY_REQUESTS: 429}
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """Content of the store at a time of the loop (seconds)."""
+
+    taken_at: float
+    revision: int
+    objects_by_kind: dict[str, dict[str, StoredObject]]
+    entry_by_name: dict[str, ServerEntry]
+
+
 class StandInStore:
     """Store of objects by kind and name, served over HTTP."""
 
     def __init__(self, rng: random.Random) -> None:
         self.revision = 1
+        self.era = 1
         self._rng = rng
         self.request_count = 0
         self.outage = Outage.NONE
@@ -61,6 +76,8 @@
         self._entry_by_name: dict[str, ServerEntry] = {}
         self._history: list[tuple[int, str, ChangeEvent]] = []
         self._compacted_revision = 0
+        self._written_at_by_server: dict[str, float] = {}
+        self._copies: list[_Copy] = []
         self._changed = asyncio.Event()
         self._server: asyncio.Server
 
@@ -73,6 +90,10 @@
         """Stop accepting connections."""
         self._server.close()
 
+    def object_names(self, kind: str) -> set[str]:
+        """Return the names of the objects of a kind."""
+        return set(self._objects_by_kind.get(kind, {}))
+
     def put_configuration(self, configuration: Configuration) -> None:
         """Write the configuration, as the operator does."""
         spec = msgspec.Raw(encode_configuration(configuration))
@@ -84,7 +105,10 @@
         is_unchanged = (
             stored_object is not None and self._entry_by_name.get(entry.name) == entry
         )
-        if self.outage is Outage.NONE and not is_unchanged:
+        if self.outage is not Outage.NONE:
+            return
+        self._written_at_by_server[entry.name] = asyncio.get_running_loop().time()
+        if not is_unchanged:
             self._entry_by_name[entry.name] = entry
             spec = msgspec.Raw(encode_server_entry(entry, seq))
             self._put(SERVERS_KIND, entry.name, spec)
@@ -100,6 +124,31 @@
         for name in list(self._objects_by_kind.get(SERVERS_KIND, {})):
             self.remove_server(name)
 
+    def restore(self, age_seconds: float) -> None:
+        """Go back to a copy of some age; revisions after it are given out again.
+
+        Servers and operators have to write again; entries of other servers expire.
+        """
+        now = asyncio.get_running_loop().time()
+        while len(self._copies) > 1 and self._copies[-1].taken_at > now - age_seconds:
+            self._copies.pop()
+        copy = self._copies[-1]
+        self.era += 1
+        self.revision = copy.revision
+        self._objects_by_kind = _copy_objects(copy.objects_by_kind)
+        self._entry_by_name = dict(copy.entry_by_name)
+        self._history = [each for each in self._history if each[0] <= copy.revision]
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self._wake_watches()
+        asyncio.get_running_loop().call_later(
+            SERVER_LEASE_SECONDS, self._expire_servers_unwritten_since, now
+        )
+
+    def _expire_servers_unwritten_since(self, start: float) -> None:
+        for name in list(self._objects_by_kind.get(SERVERS_KIND, {})):
+            if self._written_at_by_server.get(name, float("-inf")) < start:
+                self.remove_server(name)
+
     def compact(self) -> None:
         """Drop all past events, so that watches must list again."""
         self._history.clear()
@@ -117,6 +166,14 @@
         self._history.append((self.revision, kind, event))
         while len(self._history) > MAX_HISTORY_EVENTS:
             self._compacted_revision = self._history.pop(0)[0]
+        self._copies.append(
+            _Copy(
+                asyncio.get_running_loop().time(),
+                self.revision,
+                _copy_objects(self._objects_by_kind),
+                dict(self._entry_by_name),
+            )
+        )
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -139,7 +196,8 @@
                 status, value = await self._handle_request(method, target, body)
                 if method != "GET" and self._rng.random() < self.lost_share:
                     continue
-                reply = Reply(status, body=msgspec.json.encode(value))
+                headers = ((ERA_HEADER, str(self.era).encode()),)
+                reply = Reply(status, headers, msgspec.json.encode(value))
                 writer.write(encode_reply(reply))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
@@ -175,7 +233,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return 410, {}
             events = tuple(
                 e for rev, k, e in self._history if rev > after and k == kind
@@ -199,6 +257,12 @@
         )
 
 
+def _copy_objects(
+    objects_by_kind: dict[str, dict[str, StoredObject]],
+) -> dict[str, dict[str, StoredObject]]:
+    return {kind: dict(objects) for kind, objects in objects_by_kind.items()}
+
+
 async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, bytes]:
     """Return the method, target and body of the next HTTP request."""
     method, target, _, body = await read_message(reader)
