Order what is read from the store over restores from older copies

Callers saw: a change of the configuration that the store had acknowledged was not in force, and an added route got 404, on every host, once the store had been restored from a copy some seconds old.

Cause: hosts took the store's revision for a clock that never goes back. A restored store gives revisions out again; views and watches dropped what they read at a revision that they had passed, kept the higher one, and other hosts were told so. The logs rule out a version that was in force and undone.

Change: the era that the store states in each response is the high part of a revision, so that all that is read after a restore is newer; in the first era nothing changes on the wire. Configurations are ordered by their version instead, which the operator never takes back. A response from an earlier era, or a list of two eras, is rejected. Servers missing from the copy have time to write again; entries by which a server would come back wait for the lease after which the store drops those that have left. Each host that polls lists once in an era. What hosts wrote is written again, and removed again. Hosts of the previous version get the high revisions from others and follow them; they confirm no views, since they don't notice a restore, and don't count among the hosts that poll.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -9,7 +9,7 @@
 from crocusbay_gateway.coordination.quantile import QuantileEstimate
 from crocusbay_gateway.coordination.registry import Registry, Server
 from crocusbay_gateway.protocol import encode_server_request
-from crocusbay_gateway.state import CallerRequest, Route
+from crocusbay_gateway.state import CallerRequest, Route, format_revision
 from crocusbay_gateway.transport.server_connection import Exchange
 
 # Initial estimate of the median latency, as a share of the route's latency goal.
@@ -356,7 +356,7 @@
             request=self.request.attempt_id,
             service=service,
             server=entry.name,
-            entry_revision=entry.revision,
+            entry_revision=format_revision(entry.revision),
             cause=verdict.cause,
             detail=verdict.detail,
             relay=attempt.exchange.relay,
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -244,6 +245,10 @@
         deleted, self._deleted_names = self._deleted_names, set()
         return deleted - self.by_name.keys()
 
+    def forget_again(self, names: Iterable[str]) -> None:
+        """Return lost hosts once more from `pop_deleted`, unless they are back."""
+        self._deleted_names.update(names)
+
     def heartbeat_targets(self) -> list[str]:
         """Return the addresses that the next heartbeat is sent to."""
         contacts = self.contacts_by_name
@@ -266,13 +271,14 @@
         """Return this host's rank for polling the store; 0 polls first.
 
         Hosts that reach the store come first. Otherwise the order is by a hash, so that
-        it does not follow the data centres' names.
+        it does not follow the data centres' names. Hosts that don't notice a restore of
+        the store don't count, since others can't rely on their views.
         """
         own_key = (not own_reaches_store, _name_hash(self.name))
         return sum(
             (not status.reaches_store, _name_hash(status.name)) < own_key
             for status in self.live_hosts
-            if not status.is_leaving
+            if status.knows_eras and not status.is_leaving
         )
 
     def is_store_reached(self, own_reaches_store: bool) -> bool:
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -1,5 +1,6 @@
 """Exchange of heartbeats and views of the store with other hosts."""
 
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -10,6 +11,8 @@
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
+from crocusbay_gateway.coordination.store_era import SOURCE_PEER as ERA_FROM_PEER
+from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.protocol import Heartbeat, KnownHost, ViewQuery, ViewResponse
@@ -24,6 +27,8 @@
 # One-way delay between hosts, added to the age that a peer reports for its view.
 PEER_DELAY_SECONDS = 0.01
 HOST_LIST_INTERVAL_SECONDS = 2.0
+# Removals of lost hosts that are repeated after a restore of the store.
+MAX_REMOVED_NAMES = 64
 
 
 class Peering:
@@ -41,6 +46,7 @@
         servers: ServersView,
         crash_monitor: CrashMonitor,
         server_limits: ServerLimits,
+        store_era: StoreEra,
         build_status: Callable[[int, str], HostStatus],
         on_host_joined: Callable[[], None],
         on_query: Callable[[FrameConnection, msgspec.Struct], None],
@@ -56,6 +62,11 @@
         self._servers = servers
         self._crash_monitor = crash_monitor
         self._server_limits = server_limits
+        self._store_era = store_era
+        self._is_written = False
+        # Names of lost hosts whose entries this host has removed from the store.
+        self._removed_names: deque[str] = deque(maxlen=MAX_REMOVED_NAMES)
+        store_era.subscribe(self._write_again)
         self._build_status = build_status
         self._on_host_joined = on_host_joined
         self._log = log
@@ -142,9 +153,14 @@
         self._compare_views(status, now)
 
     def _compare_views(self, status: HostStatus, now: float) -> None:
-        """Confirm own views by those of a peer, or fetch the peer's if newer."""
-        is_behind = status.configuration_revision > self._configuration.revision
-        if not is_behind:
+        """Confirm own views by those of a peer, or fetch the peer's if newer.
+
+        Hosts that don't notice a restore of the store confirm nothing.
+        """
+        if status.store_era:
+            self._store_era.observe(status.store_era, ERA_FROM_PEER)
+        is_behind = self._is_configuration_behind(status)
+        if status.knows_eras and not is_behind:
             self._configuration.update(
                 status.configuration_revision,
                 None,
@@ -153,7 +169,7 @@
         cursor = status.servers_revision, status.servers_late_removals
         if cursor > self._servers.cursor:
             is_behind = True
-        elif self._servers.seen_revision:
+        elif status.knows_eras and self._servers.seen_revision:
             self._servers.confirm(
                 status.servers_revision,
                 status.servers_seen_revision,
@@ -163,8 +179,20 @@
             self._is_fetching = True
             self._spawn(self._fetch_view, status)
 
+    def _is_configuration_behind(self, status: HostStatus) -> bool:
+        if not status.knows_eras:
+            return status.configuration_revision > self._configuration.revision
+        version = self._configuration.version
+        return status.configuration_version is not None and (
+            version is None or status.configuration_version > version
+        )
+
     async def _fetch_view(self, status: HostStatus) -> None:
-        query = ViewQuery(self._configuration.revision, self._servers.revision)
+        query = ViewQuery(
+            self._configuration.revision,
+            self._servers.revision,
+            self._configuration.version,
+        )
         try:
             response = await fetch_view(status.peer_address, query)
         except (OSError, TimeoutError, ValueError) as error:
@@ -191,7 +219,10 @@
 
     def _answer_view_query(self, query: ViewQuery) -> ViewResponse:
         now = self._timers.now()
-        is_newer = self._configuration.revision > query.configuration_revision
+        if query.configuration_version is None or self._configuration.version is None:
+            is_newer = self._configuration.revision > query.configuration_revision
+        else:
+            is_newer = self._configuration.version > query.configuration_version
         return ViewResponse(
             self._configuration.revision,
             self._configuration.age(now),
@@ -203,6 +234,12 @@
             self._servers.cursor[1],
         )
 
+    def _write_again(self) -> None:
+        """Write what a restored store has lost, and remove what it has again."""
+        self._is_written = False
+        self._membership.forget_again(self._removed_names)
+        self._removed_names.clear()
+
     async def maintain_host_list(self, store: Store) -> None:
         """Write this host's entry to the store and read those of other hosts.
 
@@ -210,20 +247,28 @@
         enough to reach a data centre. A host reads the list only while it receives no
         heartbeats, that is, when the seeds do not respond.
         """
-        is_written = False
         contact = KnownHost(
             self._membership.name, self.address, self._membership.data_centre
         )
         async for _ in self._timers.every(HOST_LIST_INTERVAL_SECONDS, jitter=0.2):
             try:
-                if not is_written and self._membership.is_bridge:
-                    await store.write_host(contact)
-                    is_written = True
+                if not self._is_written and self._membership.is_bridge:
+                    # Set first: a restore during the call makes it due again.
+                    self._is_written = True
+                    await self._write_host(store, contact)
                 if not self._membership.live_hosts:
                     for host in await store.list_hosts():
                         self._membership.add_contact(host)
                 for name in self._membership.pop_deleted():
                     if self._membership.is_bridge:
                         await store.remove_host(name)
+                        self._removed_names.append(name)
             except StoreUnavailableError as error:
                 self._log.info("hosts-not-read", reason=str(error))
+
+    async def _write_host(self, store: Store, contact: KnownHost) -> None:
+        try:
+            await store.write_host(contact)
+        except StoreUnavailableError:
+            self._is_written = False
+            raise
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -113,6 +113,11 @@
         """Return the fingerprints of the requests with known crashes."""
         return self._by_fingerprint.keys()
 
+    @property
+    def quarantined(self) -> KeysView[str]:
+        """Return the fingerprints of the requests that are quarantined."""
+        return self._quarantined.keys()
+
     def record_crash(self, fingerprint: str, crash: Crash, now: float) -> bool:
         """Record a crash; return whether the request is quarantined by it."""
         if crash.crashed_at + CRASH_RETENTION_SECONDS < now:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -3,6 +3,7 @@
 Crash reports in the store outlast a restart of all hosts.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 from crocusbay.transport.timers import TimerService
@@ -16,6 +17,8 @@
 STARTUP_DELAY_SECONDS = 0.2
 # Hosts that read after their start; the others learn from heartbeats.
 READERS = 3
+# Removals that are repeated after a restore of the store.
+MAX_REMOVED_FINGERPRINTS = 64
 # A host without heartbeats from others learns only from the store.
 ISOLATED_READ_INTERVAL_SECONDS = 2.0
 
@@ -43,6 +46,8 @@
         self._unsaved: set[str] = set()
         self._expired: set[str] = set()
         self._saved: set[str] = set()
+        # Fingerprints that this host has removed lately, in the order of removal.
+        self._removed: deque[str] = deque(maxlen=MAX_REMOVED_FINGERPRINTS)
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
@@ -51,6 +56,14 @@
             await self.synchronize()
             await self._timers.sleep(SYNCHRONIZATION_INTERVAL_SECONDS)
 
+    def write_again(self) -> None:
+        """Write what a restored store has lost, and remove what it has again."""
+        if self._membership.polling_rank(self._reaches_store()) < READERS:
+            self._unsaved.update(self._crash_monitor.quarantine.quarantined)
+        self._unsaved.update(self._saved)
+        self._saved.clear()
+        self._expired.update(self._removed)
+
     async def synchronize(self) -> None:
         """Read, write and remove what is due; what fails is due again next time."""
         expired = self._crash_monitor.pop_expired()
@@ -65,6 +78,7 @@
             for fingerprint in sorted(self._expired):
                 await self._store.remove_crash_reports(fingerprint)
                 self._expired.discard(fingerprint)
+                self._removed.append(fingerprint)
                 self._saved.discard(fingerprint)
         except StoreUnavailableError as error:
             self._log.info("quarantine-not-synchronized", reason=str(error))
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -34,6 +34,7 @@
     ToService,
     ToShards,
     ToSplit,
+    format_revision,
 )
 from crocusbay_gateway.transport import FrameConnection
 
@@ -327,7 +328,7 @@
             retry_after=reply.retry_after,
             version=configuration.version if configuration else None,
             view_age_ms=_milliseconds(self._configuration.age(now)),
-            servers_revision=self._servers.revision,
+            servers_revision=format_revision(self._servers.revision),
             servers_age_ms=_milliseconds(self._servers.age(now)),
             running=self.running_count,
             **log_fields,
--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -1,5 +1,6 @@
 """Interface to the platform's metadata store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -33,7 +34,13 @@
 
 
 class Store(Protocol):
-    """Read, watch and write the store; each method may raise StoreUnavailableError."""
+    """Read, watch and write the store; each method may raise StoreUnavailableError.
+
+    Revisions rise over restores of the store from older copies.
+    """
+
+    def subscribe_to_era(self, on_era: Callable[[int], None]) -> None:
+        """Register a callback for the era in each response."""
 
     @property
     def has_overdue_call(self) -> bool:
@@ -47,7 +54,8 @@
     ) -> ConfigurationChange:
         """Wait up to `wait` seconds for a change.
 
-        Raise RevisionExpiredError if the changes after the revision are unknown.
+        Raise RevisionExpiredError if the changes after the revision are unknown, as
+        after a restore of the store.
         """
 
     async def list_servers(self) -> ServersChange:
--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -15,6 +15,7 @@
 )
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
+from crocusbay_gateway.state import era_of, format_revision
 
 # A change is read within one interval, well within the three seconds after which the
 # platform requires it to be in force.
@@ -83,6 +84,8 @@
         self._log = log
         self._started_at = timers.now()
         self._configuration_seen_revision = 0
+        # Era in which this host has listed the servers, or found them known.
+        self._listed_era: int | None = None
         self._consecutive_failures = 0
         self._is_store_lost = False
         self._last_call_at = float("-inf")
@@ -174,26 +177,29 @@
             self._log.info(
                 "configuration-not-newer",
                 version=change.configuration.version,
-                revision=revision,
+                revision=format_revision(revision),
                 known_version=view.configuration.version,
-                known_revision=view.revision,
+                known_revision=format_revision(view.revision),
             )
 
     async def _poll_servers(self) -> None:
         view = self._servers
         previous_cursor = view.cursor
         confirmed_at = self._timers.now()
-        if not view.seen_revision:
+        if self._listed_era is None:
+            self._listed_era = era_of(view.seen_revision)
+        try:
+            # A host that lists a restored store delays the removals that it finds, and
+            # may end before others hear of them: each host that polls lists once.
+            if not view.seen_revision or era_of(view.seen_revision) > self._listed_era:
+                raise RevisionExpiredError
+            change = await self._store.watch_servers(view.seen_revision)
+            apply = view.update
+        except RevisionExpiredError:
             change = await self._store.list_servers()
             apply = view.replace_all
-        else:
-            try:
-                change = await self._store.watch_servers(view.seen_revision)
-                apply = view.update
-            except RevisionExpiredError:
-                change = await self._store.list_servers()
-                apply = view.replace_all
-                self._log_list("servers", view.seen_revision, change.seen_revision)
+            self._listed_era = era_of(change.seen_revision)
+            self._log_list("servers", view.seen_revision, change.seen_revision)
         now = self._timers.now()
         if now - confirmed_at > OVERDUE_POLL_SECONDS:
             self._last_failure_at = now
@@ -207,7 +213,10 @@
             self._on_change("servers")
 
     def _log_list(self, view: str, known_revision: int, seen_revision: int) -> None:
-        """Log that a view is listed, as the changes since its revision are unknown."""
+        """Log that a view is listed, as later changes are unknown."""
         self._log.info(
-            "store-listed", view=view, known=known_revision, revision=seen_revision
+            "store-listed",
+            view=view,
+            known=format_revision(known_revision),
+            revision=format_revision(seen_revision),
         )
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -18,12 +18,19 @@
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.store import StoreUnavailableError
+from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import KnownHost
 from crocusbay_gateway.protocol.tests.http_conventions import HTTP_CONVENTIONS
-from crocusbay_gateway.state import Bounds, Configuration, HostStatus, ServerEntry
+from crocusbay_gateway.state import (
+    Bounds,
+    Configuration,
+    HostStatus,
+    ServerEntry,
+    make_revision,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -35,6 +42,8 @@
 
     def __init__(self, name, timers, spawn):
         self.name = name
+        # Hosts of versions that know no eras report none.
+        self.store_era = 1
         self.timers = timers
         self.configuration = ConfigurationView()
         self.servers = ServersView()
@@ -50,6 +59,7 @@
             self.servers,
             CrashMonitor(self.quarantine, log, metrics, timers),
             ServerLimits(registry, log, metrics, timers),
+            StoreEra(log, metrics),
             self.build_status,
             lambda: None,
             lambda connection, query: None,
@@ -74,6 +84,10 @@
             servers_seen_revision=self.servers.seen_revision,
             servers_age=self.servers.age(now),
             servers_late_removals=self.servers.cursor[1],
+            configuration_version=(
+                None if self.store_era is None else self.configuration.version
+            ),
+            store_era=self.store_era,
         )
 
     def add_contact(self, other):
@@ -134,6 +148,52 @@
         assert second.servers.seen_revision == 12
 
 
+async def test_heartbeat_of_a_host_without_eras_confirms_no_view():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        first.store_era = None
+        set_views(first)
+        first.add_contact(second)
+        # Newer views are still fetched from it.
+        await wait_until(lambda: second.servers.by_name, first.peering.send_heartbeat)
+        await wait_until(
+            lambda: second.configuration.configuration, first.peering.send_heartbeat
+        )
+        confirmed_at = second.servers.confirmed_at, second.configuration.confirmed_at
+        first.servers.update([], 12, first.timers.now() + 1.0)
+        previous = second.membership.by_name["host-1"].status
+        await wait_until(
+            lambda: second.membership.by_name["host-1"].status.is_newer_than(previous),
+            first.peering.send_heartbeat,
+        )
+        assert second.servers.seen_revision == 9
+        assert confirmed_at == (
+            second.servers.confirmed_at,
+            second.configuration.confirmed_at,
+        )
+
+
+@pytest.mark.parametrize(
+    ("first_revision", "second_revision"),
+    [(57, make_revision(2, 41)), (make_revision(2, 41), 57), (57, 57)],
+)
+async def test_hosts_agree_on_the_newer_version_whatever_its_revision(
+    first_revision, second_revision
+):
+    async with open_hosts("host-1", "host-2") as (first, second):
+        now = first.timers.now()
+        first.configuration.update(first_revision, Configuration(11), now)
+        second.configuration.update(second_revision, Configuration(8), now)
+        first.add_contact(second)
+        second.add_contact(first)
+
+        def send_both():
+            first.peering.send_heartbeat()
+            second.peering.send_heartbeat()
+
+        await wait_until(lambda: second.configuration.version == 11, send_both)
+        assert first.configuration.version == 11
+
+
 async def test_contacts_are_forwarded_between_two_other_hosts():
     names = ("host-1", "host-2", "host-3")
     async with open_hosts(*names) as (first, second, third):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -63,7 +63,9 @@
 
     def hear(self, names):
         for name in names:
-            status = HostStatus(name, 1, 1, "a", f"{name}:80", f"{name}:81")
+            status = HostStatus(
+                name, 1, 1, "a", f"{name}:80", f"{name}:81", store_era=1
+            )
             self.membership.update(status, self.timers.now())
 
     def crash_servers(self, count=3):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_store_watcher.py
@@ -8,6 +8,7 @@
 
 
 def status(name, heartbeat_number=1, **fields):
+    fields.setdefault("store_era", 1)
     return HostStatus(
         name, 1, heartbeat_number, "a", f"{name}:80", f"{name}:81", **fields
     )
@@ -69,3 +70,10 @@
     membership.expire(membership.loss_timeout + 0.1)
     rank = membership.polling_rank(True)
     assert should_poll(rank, 0.0, 10.0, is_reached=True)
+
+
+def test_host_polls_if_no_other_one_notices_a_restore_of_the_store():
+    membership = Membership("host-0", "a", 1)
+    for name in HOSTS:
+        membership.update(status(name, store_era=None), 0.0)
+    assert membership.polling_rank(True) == 0
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -3,11 +3,12 @@
 from crocusbay_gateway.coordination.views import (
     OUTAGE_AGE_SECONDS,
     REMOVAL_DELAY_SECONDS,
+    REVIVAL_MARGIN_SECONDS,
     UNPOLLED_AGE_SECONDS,
     ConfigurationView,
     ServersView,
 )
-from crocusbay_gateway.state import Configuration, ServerEntry
+from crocusbay_gateway.state import Configuration, ServerEntry, make_revision
 
 
 def entry(name="x", revision=1, **fields):
@@ -25,6 +26,10 @@
         ([(2, 5), (1, 1)], 5),
         ([(2, 5), (3, 4)], 5),
         ([(2, 5), (2, 5)], 5),
+        # The store was restored from an older copy.
+        ([(9, 5), (make_revision(2, 1), 3)], 5),
+        ([(9, 5), (make_revision(2, 1), 3), (make_revision(2, 2), 6)], 6),
+        ([(make_revision(2, 1), 3), (9, 5)], 5),
     ],
 )
 def test_older_configuration_is_ignored(updates, expected_version):
@@ -167,3 +172,93 @@
     first.update([entry("x", 7, is_draining=True), entry("y", 9)], 9, 101.0)
     fetch(second, first, 101.0)
     assert not second.by_name["x"].is_usable
+
+
+RESTORED_AT = 100.0
+LEASE_SECONDS = 3.6
+REVIVED_AT = RESTORED_AT + LEASE_SECONDS + REVIVAL_MARGIN_SECONDS
+
+
+def restored(number):
+    return make_revision(2, number)
+
+
+@pytest.mark.parametrize(
+    ("known", "copy", "is_delayed"),
+    [
+        (removed(revision=9), entry(revision=3), True),
+        (entry(revision=9, is_draining=True), entry(revision=3), True),
+        # The copy has an earlier process of the same name.
+        (entry(revision=9, started_at=20), entry(revision=3, started_at=10), True),
+        # A process that has started since the copy.
+        (removed(revision=9), entry(revision=12, started_at=30), False),
+        (entry(revision=9), entry(revision=12, is_draining=True), False),
+    ],
+)
+@pytest.mark.parametrize("is_merged", [True, False])
+def test_entries_of_an_older_copy_are_applied_once_their_leases_would_have_ended(
+    known, copy, is_delayed, is_merged
+):
+    view = ServersView(LEASE_SECONDS)
+    view.update([entry(started_at=20)], 1, RESTORED_AT - 2.0)
+    view.update([known], 9, RESTORED_AT - 1.0)
+    before = view.by_name["x"]
+    listed = ServerEntry(
+        "x",
+        restored(copy.revision),
+        "s",
+        "10.0.0.1:80",
+        "a",
+        is_draining=copy.is_draining,
+        started_at=copy.started_at or 20,
+    )
+    if is_merged:
+        cursor = listed.revision, 0
+        view.merge([listed], cursor, restored(12), RESTORED_AT)
+    else:
+        view.replace_all([listed], restored(12), RESTORED_AT)
+    assert (view.by_name["x"] == before) == is_delayed
+    view.update([], restored(13), REVIVED_AT - 0.1)
+    assert (view.by_name["x"] == before) == is_delayed
+    view.confirm(view.revision, restored(13), REVIVED_AT + 0.1)
+    assert view.by_name["x"].is_draining == copy.is_draining
+    assert view.by_name["x"].started_at == listed.started_at
+
+
+def test_removal_that_the_view_knew_reaches_hosts_that_read_the_older_copy():
+    known, fresh = ServersView(LEASE_SECONDS), ServersView(LEASE_SECONDS)
+    known.update([entry(started_at=20)], 1, RESTORED_AT - 2.0)
+    known.update([removed(revision=9)], 9, RESTORED_AT - 1.0)
+    copy = entry(revision=restored(3), started_at=20)
+    for view in (known, fresh):
+        view.replace_all([copy], restored(12), RESTORED_AT)
+    assert fresh.by_name["x"].is_usable
+    known.update([removed(revision=restored(13))], restored(13), RESTORED_AT + 1.0)
+    assert known.cursor > fresh.cursor
+    fresh.merge(
+        known.changed_since(fresh.revision),
+        known.cursor,
+        known.seen_revision,
+        RESTORED_AT + 1.0,
+    )
+    assert fresh.by_name["x"].is_removed
+    for view in (known, fresh):
+        view.update([], restored(14), REVIVED_AT + 1.0)
+        assert view.by_name["x"].is_removed
+
+
+def test_servers_missing_from_an_older_copy_have_time_to_write_again():
+    view = ServersView(LEASE_SECONDS)
+    view.update([entry()], 9, RESTORED_AT)
+    view.replace_all([], restored(4), RESTORED_AT + 0.1)
+    assert view.by_name["x"].is_usable
+    view.update([], restored(5), RESTORED_AT + REMOVAL_DELAY_SECONDS + 0.2)
+    assert view.by_name["x"].is_removed
+
+
+def test_response_from_before_a_restore_changes_nothing():
+    view = ServersView()
+    view.update([entry(revision=restored(3))], restored(4), 100.0)
+    view.replace_all([], 90, 101.0)
+    assert view.by_name["x"].is_usable
+    assert view.confirmed_at == 100.0
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -27,12 +27,19 @@
 from crocusbay_gateway.coordination.server_prober import ServerProber
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.store import Store
+from crocusbay_gateway.coordination.store_era import SOURCE_STORE, StoreEra
 from crocusbay_gateway.coordination.store_watcher import StoreWatcher
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import HttpConventions
-from crocusbay_gateway.state import GatewaySettings, HostStatus, Limits, Reply
+from crocusbay_gateway.state import (
+    GatewaySettings,
+    HostStatus,
+    Limits,
+    Reply,
+    format_revision,
+)
 from crocusbay_gateway.transport import CallerServer, serve_pages
 
 # Weight of the newest sample, one per heartbeat, in the smoothed load.
@@ -77,7 +84,9 @@
         self.metrics = metrics
         self.is_leaving = False
         self.configuration = ConfigurationView()
-        self.servers = ServersView()
+        self.servers = ServersView(settings.bounds.server_lease)
+        self.store_era = StoreEra(log, metrics)
+        store.subscribe_to_era(lambda era: self.store_era.observe(era, SOURCE_STORE))
         self.membership = Membership(settings.name, settings.data_centre, incarnation)
         self._conventions = conventions
         self._store = store
@@ -111,6 +120,7 @@
             self.settings, seed_ips=settings.seed_ips, bounds=settings.bounds
         )
         self.registry.set_bounds(settings.bounds)
+        self.servers.server_lease = settings.bounds.server_lease
         self.peering.seed_ips = settings.seed_ips
         self.log.info("settings-reloaded", seeds=len(settings.seed_ips))
 
@@ -161,6 +171,7 @@
             self.log,
             self.timers,
         )
+        self.store_era.subscribe(self.quarantine_store.write_again)
         self.handover = HandoverClient(self.membership, self.log, self.timers)
         context = Context(
             self._conventions,
@@ -214,6 +225,7 @@
             self.servers,
             self.crash_monitor,
             self.server_limits,
+            self.store_era,
             self._build_status,
             self._update_limit_shares,
             self.request_service.handle_peer_query,
@@ -263,7 +275,7 @@
         self.log.info(
             "configuration-in-force",
             version=configuration.version,
-            revision=self.configuration.revision,
+            revision=format_revision(self.configuration.revision),
             routes=len(configuration.routes),
         )
         self.registry.set_configuration(configuration)
@@ -274,7 +286,7 @@
             self.log.info(
                 "server-changed",
                 server=entry.name,
-                revision=entry.revision,
+                revision=format_revision(entry.revision),
                 service=entry.service,
                 address=entry.address,
                 draining=entry.is_draining,
@@ -322,6 +334,8 @@
             servers_late_removals=self.servers.cursor[1],
             is_cut_off=self.registry.reachability.is_cut_off,
             accepts_handovers=True,
+            configuration_version=self.configuration.version,
+            store_era=self.store_era.current,
         )
 
     async def _send_heartbeats(self) -> None:
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -128,6 +128,10 @@
             "Time since the store confirmed a view",
             "view",
         )
+        self.store_era = LabelledValue(
+            "crocusbay_gateway_store_era",
+            "Era of the store, which rises with each restore from an older copy",
+        )
         self.server_silence = LabelledValue(
             "crocusbay_gateway_server_silence_seconds",
             "Time since any server responded to this host itself",
@@ -161,6 +165,7 @@
             (self.store_calls, CounterMetricFamily),
             (self.members, GaugeMetricFamily),
             (self.view_age, GaugeMetricFamily),
+            (self.store_era, GaugeMetricFamily),
             (self.server_silence, GaugeMetricFamily),
             (self.running, GaugeMetricFamily),
         ):
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -59,10 +59,15 @@
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
-    """Request the configuration after a revision, and server changes since another."""
+    """Request a newer configuration, and the server changes since a revision.
+
+    Hosts of versions that know no eras send and compare the configuration's revision
+    only. `configuration_version` is None without a configuration.
+    """
 
     configuration_revision: int = 0
     servers_revision: int = 0
+    configuration_version: int | None = None
 
 
 class ViewResponse(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/crocusbay_gateway/state/__init__.py
+++ b/packages/gateway/crocusbay_gateway/state/__init__.py
@@ -15,8 +15,16 @@
 from crocusbay_gateway.state.request import CallerRequest, Reply, ServerResponse
 from crocusbay_gateway.state.server import ServerEntry
 from crocusbay_gateway.state.settings import Bounds, GatewaySettings
+from crocusbay_gateway.state.store_revision import (
+    FIRST_ERA,
+    era_of,
+    format_revision,
+    make_revision,
+    number_of,
+)
 
 __all__ = [
+    "FIRST_ERA",
     "Bounds",
     "CallerRequest",
     "Configuration",
@@ -33,4 +41,8 @@
     "ToShards",
     "ToSplit",
     "WeightedService",
+    "era_of",
+    "format_revision",
+    "make_revision",
+    "number_of",
 ]
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -14,6 +14,8 @@
     server list is complete. `servers_late_removals` counts removals applied after all
     other changes up to `servers_revision`. `is_cut_off` is whether the host reaches no
     server, and `accepts_handovers` whether it serves requests for such hosts.
+    `configuration_version` is None without a configuration. `store_era` is 0 while it
+    is not known, and None for hosts of versions that know no eras.
     """
 
     name: str
@@ -35,6 +37,13 @@
     servers_late_removals: int = 0
     is_cut_off: bool = False
     accepts_handovers: bool = False
+    configuration_version: int | None = None
+    store_era: int | None = None
+
+    @property
+    def knows_eras(self) -> bool:
+        """Return whether the host notices that the store has been restored."""
+        return self.store_era is not None
 
     def is_newer_than(self, other: "HostStatus") -> bool:
         """Return whether this status supersedes the other one."""
--- a/packages/gateway/crocusbay_gateway/state/server.py
+++ b/packages/gateway/crocusbay_gateway/state/server.py
@@ -32,8 +32,21 @@
 
     def differs_in_effect(self, other: "ServerEntry") -> bool:
         """Return whether a host has to act on the change between the entries."""
+        if self.is_removed and other.is_removed:
+            return False
         return self._effective_fields() != other._effective_fields()
 
+    def goes_back_from(self, known: "ServerEntry") -> bool:
+        """Return whether this entry tells of an earlier process, or of its past."""
+        if known.started_at and self.started_at != known.started_at:
+            return self.started_at < known.started_at
+        return self._stage < known._stage
+
+    @property
+    def _stage(self) -> int:
+        """Return the stage of the server's life: in use, leaving or removed."""
+        return 2 if self.is_removed else int(self.is_draining)
+
     def _effective_fields(self) -> tuple:
         return (
             self.service,
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -115,9 +115,7 @@
 
     def remove_server(self, name: str) -> None:
         """Delete the entry of a server if there is one."""
-        stored_object = self._objects_by_kind.get(SERVERS_KIND, {}).pop(name, None)
-        if stored_object is not None:
-            self._append_event(SERVERS_KIND, ChangeEvent(stored_object, deleted=True))
+        self._delete(SERVERS_KIND, name)
 
     def expire_servers(self) -> None:
         """Delete the entries of all servers, as when their leases expire."""
@@ -161,6 +159,15 @@
         self._append_event(kind, ChangeEvent(stored))
         return stored
 
+    def _delete(self, kind: str, name: str) -> StoredObject | None:
+        """Delete an object if there is one; its revision is that of the deletion."""
+        stored = self._objects_by_kind.get(kind, {}).pop(name, None)
+        if stored is None:
+            return None
+        deleted = StoredObject(ObjectMetadata(name, self.revision + 1), stored.spec)
+        self._append_event(kind, ChangeEvent(deleted, deleted=True))
+        return deleted
+
     def _append_event(self, kind: str, event: ChangeEvent) -> None:
         self.revision += 1
         self._history.append((self.revision, kind, event))
@@ -218,11 +225,8 @@
             return 200, self._put(kind, sent.meta.name, sent.spec)
         if method == "DELETE":
             name = url.path.rpartition("/")[2]
-            stored_object = self._objects_by_kind.get(kind, {}).pop(name, None)
-            if stored_object is None:
-                return 404, {}
-            self._append_event(kind, ChangeEvent(stored_object, deleted=True))
-            return 200, stored_object
+            deleted = self._delete(kind, name)
+            return (404, {}) if deleted is None else (200, deleted)
         if WATCH_PARAMETER in query:
             return await self._watch(
                 kind, int(query[WATCH_PARAMETER]), int(query[WAIT_MS_PARAMETER])
