Restore the store and upgrade hosts in the soak, and check the order of configurations

A soak may restore the store from older copies (--restores) and start hosts of another version, taken from the history, which are replaced one after the other (--production). A new check: no host goes back to an older configuration until it restarts. Other seeds draw the faults that they drew before.

--- a/packages/standins/crocusbay_standins/emulator/hosts.py
+++ b/packages/standins/crocusbay_standins/emulator/hosts.py
@@ -45,6 +45,7 @@
         if self.is_running:
             return
         self._loop: VirtualClockLoop = asyncio.get_running_loop()
+        self.start_times.append(self._loop.time())
         self.node = Node(self.settings.ip)
         self.is_paused = False
         context = copy_context()
--- a/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
@@ -17,6 +17,7 @@
     SoakPlan(1070),
     SoakPlan(1087),
     SoakPlan(3000, crashing_requests=3),
+    SoakPlan(4000, restores=2),
 ]
 
 
--- a/packages/standins/crocusbay_standins/soak/__main__.py
+++ b/packages/standins/crocusbay_standins/soak/__main__.py
@@ -22,6 +22,12 @@
     default=0,
     help="Requests, repeated throughout, that crash the servers that run them.",
 )
+@click.option("--restores", default=0, help="Restores of the store from older copies.")
+@click.option(
+    "--production",
+    default="",
+    help="Commit of the version that hosts run until they are upgraded.",
+)
 @click.option(
     "--logs", type=click.Path(path_type=Path), help="Folder that keeps the logs."
 )
@@ -35,16 +41,26 @@
     callers: int,
     seconds: float,
     crashing_requests: int,
+    restores: int,
+    production: str,
     logs: Path | None,
     emulated: bool,
 ) -> None:
     """Run hosts under random faults and check their guarantees."""
+    if emulated and production:
+        raise click.UsageError("hosts of another version run as processes only")
     has_violations = False
     for seed in range(first_seed, first_seed + seeds):
         folder = (logs or Path(tempfile.mkdtemp())) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         plan = SoakPlan(
-            seed, hosts, callers, seconds, crashing_requests=crashing_requests
+            seed,
+            hosts,
+            callers,
+            seconds,
+            crashing_requests=crashing_requests,
+            restores=restores,
+            production=production,
         )
         if emulated:
             report = run_emulated_soak(plan, folder)
--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -53,6 +53,7 @@
     is_fault_free: Callable[[str, float], bool]
     # Maximum number of concurrent client connections by server.
     peak_connections: dict[str, int] = field(default_factory=dict)
+    start_times_by_host: dict[str, list[float]] = field(default_factory=dict)
 
 
 def check_all(observations: Observations) -> list[Violation]:
@@ -65,6 +66,7 @@
             check_draining,
             check_extras,
             check_configuration,
+            check_configuration_order,
             check_interrupted_requests,
             check_connections,
             check_crashing_requests,
@@ -259,6 +261,39 @@
     return violations
 
 
+def check_configuration_order(observations: Observations) -> list[Violation]:
+    """Check that no host goes back to an older configuration until it restarts."""
+    probes = sorted(
+        (
+            outcome
+            for outcome in observations.outcomes
+            if outcome.kind is RequestKind.PROBE and outcome.status == 200
+        ),
+        key=lambda outcome: outcome.sent_at,
+    )
+    newest_by_host: dict[str, tuple[int, float]] = {}
+    violations = []
+    for outcome in probes:
+        number = next(
+            index
+            for index, (_, configuration) in enumerate(observations.configurations)
+            if configuration.find_route("soak.example", outcome.path)
+        )
+        newest, seen_at = newest_by_host.get(outcome.host, (-1, 0.0))
+        has_restarted = any(
+            seen_at - SCHEDULING_TOLERANCE_SECONDS <= at <= outcome.ended_at
+            for at in observations.start_times_by_host.get(outcome.host, ())
+        )
+        if number >= newest or has_restarted:
+            newest_by_host[outcome.host] = (number, outcome.ended_at)
+        elif outcome.sent_at > seen_at:
+            detail = f"{outcome.path} at {outcome.host}, after change {newest}"
+            violations.append(
+                Violation("configuration order", outcome.attempt_id, detail)
+            )
+    return violations
+
+
 def check_interrupted_requests(observations: Observations) -> list[Violation]:
     """Check that no connection closes on a request without a recent fault."""
     return [
--- a/packages/standins/crocusbay_standins/soak/faults.py
+++ b/packages/standins/crocusbay_standins/soak/faults.py
@@ -14,6 +14,10 @@
 from crocusbay_standins.soak.servers import ServerBehaviour, StandInServer
 from crocusbay_standins.soak.store import Outage, StandInStore
 
+# Age of the copy from which the store is restored, at the beginning of the outage.
+MAX_COPY_AGE_SECONDS = 8.0
+MAX_RESTORE_SECONDS = 2.0
+
 # Injects a fault that lasts for the given time (seconds).
 Fault = Callable[[float], Awaitable[None]]
 
@@ -116,13 +120,19 @@
         host = self._rng.choice(self._running_hosts())
         self.log.append(f"{self._now():.1f} stop {host.name}")
         host.send_signal(signal.SIGTERM)
-        while host.is_running:
-            await asyncio.sleep(0.1)
+        await self._wait_for_exit(host)
         await asyncio.sleep(seconds)
         self._record(f"start {host.name}", host.name)
         if not host.is_running:
             host.start()
 
+    @staticmethod
+    async def _wait_for_exit(host: SoakHost) -> None:
+        """Wait until a host has exited; another fault may start it again first."""
+        starts = len(host.start_times)
+        while host.is_running and len(host.start_times) == starts:
+            await asyncio.sleep(0.1)
+
     async def _impair_store_link(self, seconds: float) -> None:
         host = self._rng.choice(self._hosts)
         link_fault = self._rng.choice(
@@ -201,6 +211,35 @@
         self._record("store drops its event history")
         self._store.compact()
 
+    async def restore_store(self, rng: random.Random, within: float) -> None:
+        """Restore the store from an older copy at some time within the next seconds.
+
+        The operator writes again later.
+        """
+        await asyncio.sleep(rng.uniform(0.0, within))
+        outage = rng.uniform(0.0, MAX_RESTORE_SECONDS)
+        rewrite_after = rng.uniform(0.0, 1.0)
+        self._record("store restored", seconds=outage + rewrite_after)
+        self._store.outage = Outage.RESET
+        await asyncio.sleep(outage)
+        self._store.restore(outage + rng.uniform(0.0, MAX_COPY_AGE_SECONDS))
+        self._store.outage = Outage.NONE
+        await asyncio.sleep(rewrite_after)
+        self._store.put_configuration(self.configurations[-1][1])
+
+    async def upgrade_hosts(self, seconds: float) -> None:
+        """Replace hosts of another version by ones of this, one after the other."""
+        pause = seconds / len(self._hosts)
+        for host in self._hosts:
+            await asyncio.sleep(pause * self._rng.uniform(0.0, 1.0))
+            self.log.append(f"{self._now():.1f} upgrade {host.name}")
+            host.send_signal(signal.SIGCONT)
+            host.send_signal(signal.SIGTERM)
+            host.version_folder = None
+            await self._wait_for_exit(host)
+            self._record(f"start {host.name}", host.name)
+            host.start()
+
     async def _change_configuration(self, seconds: float) -> None:
         version = self.configurations[-1][1].version + self._rng.randint(1, 4)
         number = len(self.configurations)
--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -5,7 +5,8 @@
 import socket
 import subprocess
 import sys
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from crocusbay_gateway.state import Bounds, GatewaySettings
@@ -13,6 +14,7 @@
 from crocusbay_platform.settings import encode_settings
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.store import SERVER_LEASE_SECONDS
+from crocusbay_standins.soak.versions import package_paths
 
 BOUNDS = Bounds(
     drain_time=3.0,
@@ -56,6 +58,10 @@
     folder: Path
     store_proxy: Proxy
     is_paused: bool = False
+    # Times of the loop (seconds).
+    start_times: list[float] = field(default_factory=list)
+    # Folder with the packages of another version to run; None for this one.
+    version_folder: Path | None = None
 
     @property
     def name(self) -> str:
@@ -96,19 +102,29 @@
         if self.is_running:
             # Overlapping faults each restart the host.
             return
+        self.start_times.append(time.monotonic())
         path = self.folder / f"{self.name}.toml"
         path.write_bytes(encode_settings(self.settings))
         program = HOST_PROGRAM.format(metrics_port=self.settings.metrics_port)
         log = (self.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
             [sys.executable, "-c", program],
-            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            env={
+                **os.environ,
+                SETTINGS_VARIABLE: str(path),
+                **self._version_variables(),
+            },
             stdout=log,
             stderr=log,
         )
         log.close()
         self.is_paused = False
 
+    def _version_variables(self) -> dict[str, str]:
+        if self.version_folder is None:
+            return {}
+        return {"PYTHONPATH": os.pathsep.join(package_paths(self.version_folder))}
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running:
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -14,6 +14,7 @@
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.servers import CRASH_MARK, StandInServer
 from crocusbay_standins.soak.store import StandInStore
+from crocusbay_standins.soak.versions import extract_version
 
 DATA_CENTRES = ["a", "b", "c"]
 WARM_UP_SECONDS = 4.0
@@ -39,6 +40,10 @@
     data_centres: int = 2
     # Requests that crash the servers that run them; each is sent again and again.
     crashing_requests: int = 0
+    # Restores of the store from older copies; they may overlap.
+    restores: int = 0
+    # Commit of the version that hosts run at first; they are upgraded under faults.
+    production: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +87,10 @@
             proxies,
             self.plan.seed % 250 + 1,
         )
+        if self.plan.production:
+            older = extract_version(self.plan.production, self.folder / "production")
+            for host in self._hosts:
+                host.version_folder = older
         self._fault_injector = self.fault_injector_type(
             self._rng, self._hosts, self._store
         )
@@ -110,7 +119,7 @@
             if self.plan.crashing_requests:
                 running.append(tasks.create_task(self._send_crashing_requests()))
             await asyncio.sleep(WARM_UP_SECONDS)
-            await self._fault_injector.inject(self.plan.fault_seconds)
+            await self._inject_faults()
             await self._fault_injector.clear()
             await asyncio.sleep(FAULT_FREE_END_SECONDS)
             self._violations_at_end = self.check_final_state()
@@ -120,6 +129,18 @@
             if server.is_up:
                 server.crash()
 
+    async def _inject_faults(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            if self.plan.production:
+                upgrade = self._fault_injector.upgrade_hosts(self.plan.fault_seconds)
+                tasks.create_task(upgrade)
+            rng = random.Random(f"{self.plan.seed} restores")
+            for _ in range(self.plan.restores):
+                tasks.create_task(
+                    self._fault_injector.restore_store(rng, self.plan.fault_seconds)
+                )
+            await self._fault_injector.inject(self.plan.fault_seconds)
+
     def check_final_state(self) -> list[Violation]:
         """Return violations seen at the end, while hosts still run without faults."""
         return []
@@ -223,6 +244,7 @@
             self._fault_injector.drain_periods,
             self._fault_injector.is_fault_free,
             {s.name: s.peak_connections for s in self._fault_injector.servers},
+            {host.name: host.start_times for host in self._hosts},
         )
         violations = check_all(observations) + self._violations_at_end
         since = (
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -9,6 +9,7 @@
     Route,
     RouteKind,
     Service,
+    ToService,
     ToShards,
 )
 from crocusbay_platform.names import HTTP_CONVENTIONS
@@ -175,3 +176,45 @@
         outcomes, received_requests, is_fault_free=is_fault_free
     )
     assert bool(checks.check_crashing_requests(observations)) == has_violation
+
+
+@pytest.mark.parametrize(
+    ("paths", "restarts", "has_violation"),
+    [
+        (["/v0/", "/v1/", "/v1/"], [], False),
+        (["/v1/", "/v0/"], [], True),
+        # A host that has started again may have the older one.
+        (["/v1/", "/v0/"], [1.5], False),
+    ],
+)
+def test_return_to_an_older_configuration_is_detected(paths, restarts, has_violation):
+    configurations = [
+        (
+            float(number),
+            Configuration(
+                number,
+                (
+                    Route(
+                        "r",
+                        "soak.example",
+                        f"/v{number}/",
+                        RouteKind.IDEMPOTENT,
+                        ToService("s0"),
+                        1.0,
+                        0.3,
+                    ),
+                ),
+            ),
+        )
+        for number in range(2)
+    ]
+    outcomes = [
+        Outcome("a", RequestKind.PROBE, "h", at, at + 0.1, 200, {}, b"", f"{path}a")
+        for at, path in enumerate(paths, start=1)
+    ]
+    observations = replace(
+        make_observations(outcomes),
+        configurations=configurations,
+        start_times_by_host={"h": restarts},
+    )
+    assert bool(checks.check_configuration_order(observations)) == has_violation
--- a/packages/standins/crocusbay_standins/soak/tests/test_soak.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_soak.py
@@ -13,6 +13,7 @@
     # Regression: a server crashed while leaving and restarted, and the check still
     # treated it as leaving.
     SoakPlan(222),
+    SoakPlan(4000, restores=1, **SMALL),
 ]
 
 
