Keep to the configuration in force if the one in the store is malformed

A configuration that can't be decoded counted as an outage of the store: the host that read it told the others that it does not reach the store, up to four polled in its place, and none confirmed its view. It is logged and passed over now; the valid one stays in force, and the views count as read.

Found while looking for the cause of the restored store elsewhere.

--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -18,11 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
-    """Describe the configuration, if changed, and the store revision read up to."""
+    """Describe the configuration, if changed, and the store revision read up to.
+
+    `problem` tells why the configuration in the store can't be used, if so.
+    """
 
     seen_revision: int
     revision: int = 0
     configuration: Configuration | None = None
+    problem: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -170,6 +170,13 @@
         self._configuration_seen_revision = max(
             self._configuration_seen_revision, change.seen_revision
         )
+        if change.problem:
+            self._log.warning(
+                "configuration-rejected",
+                revision=format_revision(change.seen_revision),
+                reason=change.problem,
+                known_version=view.version,
+            )
         revision = change.revision or view.revision
         if view.update(revision, change.configuration, confirmed_at):
             self._on_change("configuration")
--- a/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
@@ -133,6 +133,34 @@
     loop.run_until_complete(main())
 
 
+@pytest.mark.parametrize("is_in_copy", [True, False])
+def test_malformed_configuration_leaves_the_valid_one_in_force(
+    loop, tmp_path, is_in_copy
+):
+    async def main():
+        deployment = Deployment(tmp_path, HOSTS)
+        await deployment.start()
+        if is_in_copy:
+            deployment.store.put_raw_configuration(b'"forged"')
+        await change_configuration(deployment, 2)
+        await restore(deployment, 1.0)
+        if not is_in_copy:
+            deployment.store.put_raw_configuration(b'"forged"')
+        await asyncio.sleep(1.0)
+        assert versions(deployment) == [3] * HOSTS
+        calls = deployment.store.request_count
+        await asyncio.sleep(CALM_SECONDS)
+        # One host polls two views.
+        assert deployment.store.request_count - calls <= 2 * CALM_SECONDS / 0.5
+        for host in deployment.hosts:
+            assert host.gateway.store_watcher.reaches_store
+        deployment.store.put_configuration(configuration(4))
+        await asyncio.sleep(BOUNDS.configuration_apply_time)
+        assert versions(deployment) == [4] * HOSTS
+
+    loop.run_until_complete(main())
+
+
 def test_second_restore_before_the_first_is_over(loop, tmp_path):
     async def main():
         deployment = Deployment(tmp_path, HOSTS)
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -96,8 +96,11 @@
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Write the configuration, as the operator does."""
-        spec = msgspec.Raw(encode_configuration(configuration))
-        self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, spec)
+        self.put_raw_configuration(encode_configuration(configuration))
+
+    def put_raw_configuration(self, spec: bytes) -> None:
+        """Write the configuration object with any content."""
+        self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, msgspec.Raw(spec))
 
     def put_server(self, entry: ServerEntry, seq: int) -> None:
         """Write the entry of a server, except in an outage or if it is unchanged."""
