Log that servers leave or ask for rest, and attempts to such servers

No code read either header, and the logs named neither. What a server states is now reported from the head of each response, whatever becomes of the response: failures, responses that are cut off or belong to another attempt count too, but not those of another server at the address (421). Limits are learned the same way, so one module is home to all statements.

No decision depends on the new statements yet.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -289,7 +289,6 @@
         if not self.exchange.relay:
             now = self._context.timers.now()
             self._context.registry.reachability.record_response(now)
-            self._context.server_limits.record_response(self.server, response)
         not_run_header = conventions.not_run.lower()
         if any(name.lower() == not_run_header for name, _ in response.headers):
             return NotRun(Cause.SHED, detail=f"status {response.status}")
@@ -334,7 +333,9 @@
             return None
         history.record_send(server)
         self.context.metrics.attempts.inc(reason)
-        self.context.server_limits.record_send(server, reason)
+        self.context.server_statements.record_send(
+            server, reason, self.request.attempt_id
+        )
         return Attempt(
             self.context,
             self.request,
--- a/packages/gateway/crocusbay_gateway/coordination/context.py
+++ b/packages/gateway/crocusbay_gateway/coordination/context.py
@@ -6,7 +6,7 @@
 from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
-from crocusbay_gateway.coordination.server_limits import ServerLimits
+from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import HttpConventions
@@ -20,7 +20,7 @@
     timers: TimerService
     registry: Registry
     crash_monitor: CrashMonitor
-    server_limits: ServerLimits
+    server_statements: ServerStatements
     log: EventLog
     metrics: GatewayMetrics
     relays: RelayClients
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -9,7 +9,7 @@
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
-from crocusbay_gateway.coordination.server_limits import ServerLimits
+from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.coordination.store_era import SOURCE_PEER as ERA_FROM_PEER
 from crocusbay_gateway.coordination.store_era import StoreEra
@@ -45,7 +45,7 @@
         configuration: ConfigurationView,
         servers: ServersView,
         crash_monitor: CrashMonitor,
-        server_limits: ServerLimits,
+        server_statements: ServerStatements,
         store_era: StoreEra,
         build_status: Callable[[int, str], HostStatus],
         on_host_joined: Callable[[], None],
@@ -61,7 +61,7 @@
         self._configuration = configuration
         self._servers = servers
         self._crash_monitor = crash_monitor
-        self._server_limits = server_limits
+        self._server_statements = server_statements
         self._store_era = store_era
         self._is_written = False
         # Names of lost hosts whose entries this host has removed from the store.
@@ -118,7 +118,7 @@
             membership.sample_contacts() if includes_contacts else (),
             self._crash_monitor.quarantine.reports_to_share(self._timers.now()),
             membership.host_counts_by_data_centre if includes_contacts else {},
-            self._server_limits.reports_to_share(),
+            self._server_statements.reports_to_share(),
             membership.loads_by_data_centre if includes_contacts else {},
             membership.remote_hosts_to_share(is_cut_off=status.is_cut_off),
         )
@@ -148,7 +148,7 @@
         self._membership.learn_remote_hosts(
             status.data_centre, heartbeat.remote_hosts, now
         )
-        self._server_limits.record_reports(heartbeat.server_limits)
+        self._server_statements.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
         self._compare_views(status, now)
 
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -11,7 +11,12 @@
 from crocusbay_gateway.coordination.server_reachability import ServerReachability
 from crocusbay_gateway.coordination.stated_limit import ServerLimit
 from crocusbay_gateway.protocol import HttpConventions
-from crocusbay_gateway.state import Bounds, Configuration, ServerEntry
+from crocusbay_gateway.state import (
+    Bounds,
+    Configuration,
+    ServerEntry,
+    ServerStatement,
+)
 from crocusbay_gateway.transport import ReceiveBudget, ServerPool
 
 # Share of a server's limit left free for connections that a host has closed but that
@@ -38,6 +43,10 @@
     is_remote: bool
     # None unless the server states a limit, or did so recently.
     limit: ServerLimit | None = None
+    # When the server first stated that it leaves.
+    leaving_since: float | None = None
+    # Until when the server wants no requests of this host.
+    rest_until: float = float("-inf")
     _end_listeners: deque[tuple[float, Callable[[], None]]] = field(
         default_factory=lambda: deque(maxlen=MAX_END_LISTENERS)
     )
@@ -47,6 +56,15 @@
         """Return whether the server is neither leaving nor removed."""
         return self.entry.is_usable and not self.pool.is_closed
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the server has stated that it leaves."""
+        return self.leaving_since is not None
+
+    def is_resting(self, now: float) -> bool:
+        """Return whether the server has asked this host for a pause."""
+        return now < self.rest_until
+
     def limit_delay(self, now: float, *, is_urgent: bool) -> float:
         """Return the time until this host may send to the server (seconds)."""
         if self.limit is None:
@@ -85,6 +103,8 @@
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
         self.reachability = ServerReachability()
+        # Called with what a server states in each response.
+        self.on_statement: Callable[[Server, ServerStatement], None] = _ignore_statement
         self._share_inputs = (1, 0.0, 1)
         self._data_centre = data_centre
         self._conventions = conventions
@@ -252,7 +272,7 @@
         if known is not None:
             known.entry = entry
             return
-        self._by_name[entry.name] = Server(
+        server = Server(
             entry,
             ServerPool(
                 entry.address,
@@ -262,10 +282,12 @@
                 self._spawn,
                 self._receive_budget,
                 lambda is_open: self._record_connect(entry.name, is_open),
+                lambda statement: self.on_statement(server, statement),
             ),
             ServerHealth(self._timers.now() + entry.warm_up_time),
             is_remote=entry.data_centre != self._data_centre,
         )
+        self._by_name[entry.name] = server
 
     def _record_connect(self, name: str, is_open: bool) -> None:
         if is_open:
@@ -300,3 +322,7 @@
     def _set_connection_limits(self) -> None:
         for server in self._by_name.values():
             server.pool.connection_limit = self._connection_limit(server.entry.service)
+
+
+def _ignore_statement(server: Server, statement: ServerStatement) -> None:
+    """Take the place of a callback that is not set yet."""
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -104,7 +104,9 @@
             attempts.append(attempt)
         for attempt in attempts:
             self._context.metrics.attempts.inc("relayed")
-            self._context.server_limits.record_relayed_send(attempt.server)
+            self._context.server_statements.record_relayed_send(
+                attempt.server, self._request.attempt_id
+            )
             attempt.send()
         self._flush_if_needed()
 
--- a/packages/gateway/crocusbay_gateway/coordination/server_limits.py
+++ b/packages/gateway/crocusbay_gateway/coordination/server_statements.py
@@ -1,4 +1,4 @@
-"""Limits that servers state in their responses, as known to this host."""
+"""What servers state of themselves in their responses, as known to this host."""
 
 import random
 from collections import OrderedDict
@@ -9,11 +9,12 @@
     ServerLimit,
     StatedLimit,
     parse_limit,
+    parse_rest,
 )
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
-from crocusbay_gateway.protocol import ServerLimitReport
-from crocusbay_gateway.state import ServerResponse
+from crocusbay_gateway.protocol import ServerReport
+from crocusbay_gateway.state import ServerStatement
 
 # Sources of a limit, in logs.
 SOURCE_OWN = "own"
@@ -26,8 +27,8 @@
 RETENTION_SECONDS = 30.0
 
 
-class ServerLimits:
-    """Learn limits from responses and from other hosts, and pace the sends by them."""
+class ServerStatements:
+    """Learn from responses and other hosts what servers state, and act by it."""
 
     def __init__(
         self,
@@ -43,6 +44,7 @@
         self._share = 1.0
         # Servers with a limit or the recent end of one, in the order of the reports.
         self._servers: OrderedDict[str, Server] = OrderedDict()
+        registry.on_statement = self.record_statement
 
     def set_share(self, share: float) -> None:
         """Set this host's share of every limit, and drop the limits that lapsed."""
@@ -62,12 +64,49 @@
             server.limit = None
             del self._servers[name]
 
-    def record_response(self, server: Server, response: ServerResponse) -> None:
-        """Record the limit that a server states in a response, or that it has none."""
-        if not response.stated_limit and server.limit is None:
+    def record_statement(self, server: Server, statement: ServerStatement) -> None:
+        """Record what a server states in a response."""
+        if statement.is_leaving and not server.is_leaving:
+            self._record_leaving(server)
+        if statement.rest:
+            self._record_rest(server, statement.rest)
+        if statement.limit or server.limit is not None:
+            self._record_limit(server, statement.limit)
+
+    def _record_leaving(self, server: Server) -> None:
+        server.leaving_since = self._timers.now()
+        self._log.info(
+            "server-leaving",
+            server=server.entry.name,
+            service=server.entry.service,
+            source=SOURCE_OWN,
+        )
+
+    def _record_rest(self, server: Server, value: bytes) -> None:
+        """Record for how long a server wants no requests of this host."""
+        try:
+            rest = parse_rest(value)
+        except ValueError as error:
+            self._log.warning(
+                "server-rest-ignored", server=server.entry.name, reason=str(error)
+            )
             return
+        now = self._timers.now()
+        is_new = not server.is_resting(now)
+        # A rest that ends earlier is included in the one that is known.
+        server.rest_until = max(server.rest_until, now + rest)
+        if is_new and rest:
+            self._log.info(
+                "server-rest",
+                server=server.entry.name,
+                service=server.entry.service,
+                seconds=rest,
+            )
+
+    def _record_limit(self, server: Server, value: bytes) -> None:
+        """Record the limit that a server states, or that it has none."""
         try:
-            rate = parse_limit(response.stated_limit)
+            rate = parse_limit(value)
         except ValueError as error:
             self._log.warning(
                 "server-limit-ignored", server=server.entry.name, reason=str(error)
@@ -75,7 +114,7 @@
             return
         self._set_limit(server, StatedLimit(rate, self._timers.now()), SOURCE_OWN)
 
-    def record_reports(self, reports: tuple[ServerLimitReport, ...]) -> None:
+    def record_reports(self, reports: tuple[ServerReport, ...]) -> None:
         """Record what other hosts know, unless this host knows something newer."""
         now = self._timers.now()
         for report in reports:
@@ -89,7 +128,7 @@
             if limit is None or stated.stated_at > limit.stated.stated_at:
                 self._set_limit(server, stated, SOURCE_PEER)
 
-    def reports_to_share(self) -> tuple[ServerLimitReport, ...]:
+    def reports_to_share(self) -> tuple[ServerReport, ...]:
         """Return the next reports for a heartbeat, each server in its turn."""
         now = self._timers.now()
         reports = []
@@ -99,21 +138,39 @@
             stated = server.limit.stated
             age = round(now - stated.stated_at, 3)
             reports.append(
-                ServerLimitReport(name, server.entry.started_at, stated.rate, age)
+                ServerReport(name, server.entry.started_at, stated.rate, age)
             )
         return tuple(reports)
 
-    def record_send(self, server: Server, reason: str) -> None:
+    def record_send(self, server: Server, reason: str, request_id: str) -> None:
         """Record an attempt that is sent to a server."""
+        self._record_unwanted(server, reason, request_id)
         if server.limit is not None and server.limit.is_in_force:
             server.limit.record_send(self._timers.now())
             self._metrics.limited_attempts.inc(reason)
 
-    def record_relayed_send(self, server: Server) -> None:
+    def record_relayed_send(self, server: Server, request_id: str) -> None:
         """Count an attempt for another host, which has paced it by its own share."""
+        self._record_unwanted(server, "relayed", request_id)
         if server.limit is not None and server.limit.is_in_force:
             self._metrics.limited_attempts.inc("relayed")
 
+    def _record_unwanted(self, server: Server, reason: str, request_id: str) -> None:
+        is_resting = server.is_resting(self._timers.now())
+        for statement, is_stated in (
+            ("leaving", server.is_leaving),
+            ("resting", is_resting),
+        ):
+            if is_stated:
+                self._metrics.unwanted_attempts.inc(statement, reason)
+                self._log.info(
+                    "unwanted-attempt",
+                    request=request_id,
+                    server=server.entry.name,
+                    statement=statement,
+                    reason=reason,
+                )
+
     def _set_limit(self, server: Server, stated: StatedLimit, source: str) -> None:
         now = self._timers.now()
         name = server.entry.name
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -4,7 +4,9 @@
 import heapq
 import itertools
 import os
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
 from crocusbay.transport.timers import Timer
@@ -15,7 +17,7 @@
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
-from crocusbay_gateway.coordination.server_limits import ServerLimits
+from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol.tests.http_conventions import HTTP_CONVENTIONS
@@ -27,6 +29,7 @@
     RouteKind,
     ServerEntry,
     ServerResponse,
+    ServerStatement,
     Service,
     ToService,
     ToShards,
@@ -84,7 +87,7 @@
     status: int = 200
     headers: tuple = ()
     body: bytes = b"r" * 16
-    stated_limit: bytes = b""
+    statement: ServerStatement = ServerStatement()
     listening: Listening = Listening.ACCEPTED
 
 
@@ -100,6 +103,7 @@
     has_capacity: bool = True
     has_connection: bool = False
     close_count: int = 0
+    on_statement: Callable = lambda statement: None
     is_closed: bool = False
 
     def check_listening(self, on_result):
@@ -131,6 +135,7 @@
             return
         exchange.channel.current_exchange = None
         if script.verdict == "answer":
+            self.on_statement(script.statement)
             signature = f"sig-{self.name}".encode()
             headers = ((HTTP_CONVENTIONS.signature, signature), *script.headers)
             response = ServerResponse(
@@ -139,7 +144,6 @@
                 headers,
                 script.body,
                 signature,
-                script.stated_limit,
             )
             exchange.finish(Ran(response))
         else:
@@ -178,7 +182,7 @@
             self.timers,
             self.registry,
             CrashMonitor(Quarantine(), log, metrics, self.timers),
-            ServerLimits(self.registry, log, metrics, self.timers),
+            ServerStatements(self.registry, log, metrics, self.timers),
             log,
             metrics,
             RelayClients(membership, self.timers, log, None),
@@ -194,7 +198,11 @@
         self.pool_by_server = {}
         for servers in self.registry.by_service.values():
             for server in servers:
-                server.pool = FakeServerPool(server.entry.name, self.timers)
+                server.pool = FakeServerPool(
+                    server.entry.name,
+                    self.timers,
+                    on_statement=partial(self.registry.on_statement, server),
+                )
                 self.pool_by_server[server.entry.name] = server.pool
 
     def set_script(self, name, **changes):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -16,7 +16,7 @@
     Quarantine,
 )
 from crocusbay_gateway.coordination.registry import Registry
-from crocusbay_gateway.coordination.server_limits import ServerLimits
+from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.coordination.store import StoreUnavailableError
 from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
@@ -58,7 +58,7 @@
             self.configuration,
             self.servers,
             CrashMonitor(self.quarantine, log, metrics, timers),
-            ServerLimits(registry, log, metrics, timers),
+            ServerStatements(registry, log, metrics, timers),
             StoreEra(log, metrics),
             self.build_status,
             lambda: None,
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_limits.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
@@ -6,7 +6,7 @@
 from crocusbay_gateway.coordination.attempt import RouteLatency
 from crocusbay_gateway.coordination.gather import ScatterGatherHandler
 from crocusbay_gateway.coordination.partial import PartialAnswerPolicy
-from crocusbay_gateway.coordination.server_limits import RETENTION_SECONDS
+from crocusbay_gateway.coordination.server_statements import RETENTION_SECONDS
 from crocusbay_gateway.coordination.stated_limit import (
     MAX_RETRY_AFTER_SECONDS,
     ServerLimit,
@@ -18,17 +18,16 @@
     make_route,
     run_to_completion,
 )
-from crocusbay_gateway.protocol import ServerLimitReport
-from crocusbay_gateway.state import ServerResponse, ToShards
+from crocusbay_gateway.protocol import ServerReport
+from crocusbay_gateway.state import ServerStatement, ToShards
 
 pytestmark = pytest.mark.anyio
 
 
-def record_response(gateway, stated_limit):
-    """Record a response of server s-1 that states a limit."""
+def record_statement(gateway, limit=b"", **statement):
+    """Record what server s-1 states in a response."""
     server = gateway.registry.find_server("s", "s-1")
-    response = ServerResponse(200, b"", (), b"", stated_limit=stated_limit)
-    gateway.context.server_limits.record_response(server, response)
+    gateway.registry.on_statement(server, ServerStatement(limit, **statement))
 
 
 def exhaust_limits(gateway, shards):
@@ -59,7 +58,7 @@
 def test_each_change_of_a_stated_limit_is_logged(stated, logged):
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
     for value in stated:
-        record_response(gateway, value)
+        record_statement(gateway, value)
     events = logged_events(gateway, "server-limit")
     assert [event["limit"] for event in events] == logged
     assert {event["server"] for event in events} <= {"s-1"}
@@ -77,24 +76,24 @@
 )
 async def test_newest_statement_of_a_server_counts(age, reported, expected):
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
-    record_response(gateway, b"8")
+    record_statement(gateway, b"8")
     await gateway.timers.advance(1.0)
-    limits = gateway.context.server_limits
-    limits.record_reports((ServerLimitReport("s-1", 0, reported, age),))
+    limits = gateway.context.server_statements
+    limits.record_reports((ServerReport("s-1", 0, reported, age),))
     assert gateway.registry.find_server("s", "s-1").limit.stated.rate == expected
 
 
 @pytest.mark.parametrize("server", [("s-1", 1), ("s-9", 0)])
 def test_report_on_another_process_is_ignored(server):
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
-    gateway.context.server_limits.record_reports((ServerLimitReport(*server, 3.0, 0),))
+    gateway.context.server_statements.record_reports((ServerReport(*server, 3.0, 0),))
     assert gateway.registry.find_server("s", "s-1").limit is None
 
 
 async def test_limit_that_no_response_confirms_lapses():
     gateway = SimulatedGateway({"s": [("s-1", "a")]})
-    record_response(gateway, b"8")
-    limits = gateway.context.server_limits
+    record_statement(gateway, b"8")
+    limits = gateway.context.server_statements
     for seconds, is_known in [(RETENTION_SECONDS - 1.0, True), (2.0, False)]:
         await gateway.timers.advance(seconds)
         limits.set_share(0.5)
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -23,8 +23,8 @@
 from crocusbay_gateway.coordination.quarantine_store import QuarantineStore
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
-from crocusbay_gateway.coordination.server_limits import ServerLimits
 from crocusbay_gateway.coordination.server_prober import ServerProber
+from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.store import Store
 from crocusbay_gateway.coordination.store_era import SOURCE_STORE, StoreEra
@@ -160,7 +160,7 @@
         self.crash_monitor = CrashMonitor(
             Quarantine(), self.log, self.metrics, self.timers
         )
-        self.server_limits = ServerLimits(
+        self.server_statements = ServerStatements(
             self.registry, self.log, self.metrics, self.timers
         )
         self.quarantine_store = QuarantineStore(
@@ -178,7 +178,7 @@
             self.timers,
             self.registry,
             self.crash_monitor,
-            self.server_limits,
+            self.server_statements,
             self.log,
             self.metrics,
             RelayClients(self.membership, self.timers, self.log, tasks.start_soon),
@@ -224,7 +224,7 @@
             self.configuration,
             self.servers,
             self.crash_monitor,
-            self.server_limits,
+            self.server_statements,
             self.store_era,
             self._build_status,
             self._update_limit_shares,
@@ -373,7 +373,7 @@
         self.registry.set_limit_shares(
             self.membership.host_count, load_share, data_centre_count
         )
-        self.server_limits.set_share(self.membership.load_share)
+        self.server_statements.set_share(self.membership.load_share)
 
     def _set_gauges(self, now: float) -> None:
         self.metrics.members.set(len(self.membership.live_hosts))
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -106,6 +106,12 @@
             "Requests sent to servers that state a limit: first, hedge, retry, relayed",
             "reason",
         )
+        self.unwanted_attempts = LabelledValue(
+            "crocusbay_gateway_unwanted_attempts",
+            "Requests sent to servers that had stated that they leave or want none",
+            "statement",
+            "reason",
+        )
         self.attempt_failures = LabelledValue(
             "crocusbay_gateway_attempt_failures", "Failed attempts", "cause"
         )
@@ -159,6 +165,7 @@
         for metric, family_class in (
             (self.attempts, CounterMetricFamily),
             (self.limited_attempts, CounterMetricFamily),
+            (self.unwanted_attempts, CounterMetricFamily),
             (self.attempt_failures, CounterMetricFamily),
             (self.server_crashes, CounterMetricFamily),
             (self.quarantines, CounterMetricFamily),
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -16,7 +16,7 @@
     CrashReport,
     Heartbeat,
     KnownHost,
-    ServerLimitReport,
+    ServerReport,
     ViewQuery,
     ViewResponse,
 )
@@ -44,7 +44,7 @@
     "RelayedFailure",
     "RelayedPart",
     "RelayedSubRequest",
-    "ServerLimitReport",
+    "ServerReport",
     "ViewQuery",
     "ViewResponse",
     "encode_reply",
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -28,7 +28,7 @@
     is_unanswered: bool = True
 
 
-class ServerLimitReport(msgspec.Struct, frozen=True, array_like=True):
+class ServerReport(msgspec.Struct, frozen=True, array_like=True):
     """Report what a server last stated, `age` seconds ago.
 
     `rate` is the requests per second that it takes from all hosts together, or None if
@@ -53,7 +53,7 @@
     known_hosts: tuple[KnownHost, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
     host_counts_by_data_centre: dict[str, int] = {}
-    server_limits: tuple[ServerLimitReport, ...] = ()
+    server_limits: tuple[ServerReport, ...] = ()
     loads_by_data_centre: dict[str, float] = {}
     remote_hosts: tuple[HostStatus, ...] = ()
 
--- a/packages/gateway/crocusbay_gateway/protocol/tests/http_conventions.py
+++ b/packages/gateway/crocusbay_gateway/protocol/tests/http_conventions.py
@@ -9,6 +9,7 @@
     expected_server=b"X-Expected",
     not_run=b"X-Not-Run",
     stated_limit=b"X-Limit",
+    leaving=b"X-Leaving",
     shard_signatures=b"X-Parts",
     missing_shards=b"X-Missing",
     wrong_server_status=421,
--- a/packages/gateway/crocusbay_gateway/state/__init__.py
+++ b/packages/gateway/crocusbay_gateway/state/__init__.py
@@ -12,7 +12,12 @@
     WeightedService,
 )
 from crocusbay_gateway.state.host import HostStatus
-from crocusbay_gateway.state.request import CallerRequest, Reply, ServerResponse
+from crocusbay_gateway.state.request import (
+    CallerRequest,
+    Reply,
+    ServerResponse,
+    ServerStatement,
+)
 from crocusbay_gateway.state.server import ServerEntry
 from crocusbay_gateway.state.settings import Bounds, GatewaySettings
 from crocusbay_gateway.state.store_revision import (
@@ -36,6 +41,7 @@
     "RouteKind",
     "ServerEntry",
     "ServerResponse",
+    "ServerStatement",
     "Service",
     "ToService",
     "ToShards",
--- a/packages/gateway/crocusbay_gateway/state/request.py
+++ b/packages/gateway/crocusbay_gateway/state/request.py
@@ -31,18 +31,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerResponse:
-    """Describe a complete response; `signature` proves which server executed it.
+class ServerStatement:
+    """Contain what a server states of itself in the head of any response.
 
-    `stated_limit` is the limit that the server states, or empty if it states none.
+    `limit` and `rest` are header values, empty if the server states none: the requests
+    per second that it takes from all hosts together, and the time for which it wants
+    none from this host (seconds), in a rejection only.
     """
 
+    limit: bytes = b""
+    rest: bytes = b""
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerResponse:
+    """Describe a complete response; `signature` proves which server executed it."""
+
     status: int
     reason: bytes
     headers: Headers
     body: bytes
     signature: bytes = b""
-    stated_limit: bytes = b""
 
     @property
     def is_success(self) -> bool:
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -8,7 +8,8 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
-from crocusbay_gateway.state import ServerResponse
+from crocusbay_gateway.protocol.http_conventions import HttpConventions
+from crocusbay_gateway.state import ServerResponse, ServerStatement
 from crocusbay_gateway.transport.receive_budget import ReceiveBudget
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -17,6 +18,8 @@
 # Smaller responses are not worth the accounting.
 MIN_BUDGETED_BYTES = 64 * 1024
 
+# Rejections, in which `Retry-After` concerns the server rather than one resource.
+_REJECTION_STATUSES = frozenset({429, 503})
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -106,9 +109,8 @@
 
     def __init__(
         self,
-        attempt_header: bytes,
-        signature_header: bytes,
-        limit_header: bytes,
+        conventions: HttpConventions,
+        on_statement: Callable[[ServerStatement], None],
         on_idle: Callable[["ServerConnection"], None],
         on_lost: Callable[["ServerConnection"], None],
         now: Callable[[], float],
@@ -120,9 +122,12 @@
         self.idle_timeout: float | None = None
         self.is_closed = False
         self.timer: Timer | None = None
-        self._attempt_header = attempt_header.lower()
-        self._signature_header = signature_header.lower()
-        self._limit_header = limit_header.lower()
+        self._attempt_header = conventions.attempt_id.lower()
+        self._signature_header = conventions.signature.lower()
+        self._limit_header = conventions.stated_limit.lower()
+        self._leaving_header = conventions.leaving.lower()
+        self._wrong_server_status = conventions.wrong_server_status
+        self._on_statement = on_statement
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._now = now
@@ -221,14 +226,14 @@
             lower = name.lower()
             if lower in _FRAMING_HEADERS:
                 self._is_framed = True
-            elif lower == self._attempt_header:
-                self._check_attempt(value)
             elif lower == self._signature_header:
                 self._signature = value
-            elif lower == self._limit_header:
-                self._stated_limit = value
             elif lower == b"keep-alive":
                 self._parse_keep_alive(value)
+        self._report_statement()
+        for name, value in self._headers:
+            if name.lower() == self._attempt_header:
+                self._check_attempt(value)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk of the body (called by the parser)."""
@@ -252,7 +257,6 @@
         self._status = 0
         self._reason = b""
         self._signature = b""
-        self._stated_limit = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
 
@@ -283,6 +287,23 @@
                 f"response to attempt {value!r}, expected {expected!r}"
             )
 
+    def _report_statement(self) -> None:
+        """Report what the server states, whatever becomes of its response.
+
+        A response to a request for another server says nothing of that one.
+        """
+        if self._status < 200 or self._status == self._wrong_server_status:
+            return
+        by_name = {name.lower(): value for name, value in self._headers}
+        is_rejection = self._status in _REJECTION_STATUSES
+        self._on_statement(
+            ServerStatement(
+                by_name.get(self._limit_header, b""),
+                by_name.get(b"retry-after", b"") if is_rejection else b"",
+                by_name.get(self._leaving_header, b"") == b"1",
+            )
+        )
+
     def _parse_keep_alive(self, value: bytes) -> None:
         for parameter in value.split(b","):
             key, _, seconds = parameter.strip().partition(b"=")
@@ -299,7 +320,6 @@
             tuple(self._headers),
             bytes(self._body),
             self._signature,
-            self._stated_limit,
         )
         must_close = self._must_close or self._has_extra_data
         self.current_exchange = None
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -10,6 +10,7 @@
 from crocusbay.state import Cause, NotRun, split_address
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.protocol.http_conventions import HttpConventions
+from crocusbay_gateway.state import ServerStatement
 from crocusbay_gateway.transport.receive_budget import ReceiveBudget
 from crocusbay_gateway.transport.server_connection import Exchange, ServerConnection
 
@@ -44,7 +45,7 @@
 
     `connection_limit` is the number of connections that this host may open, its part of
     the limit that the server has for all hosts. `on_connect` is called with whether a
-    connection could be opened.
+    connection could be opened, `on_statement` with the head of each response.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         spawn: Callable,
         receive_budget: ReceiveBudget,
         on_connect: Callable[[bool], None] = lambda is_open: None,
+        on_statement: Callable[[ServerStatement], None] = lambda statement: None,
     ) -> None:
         self.address = address
         self.connection_limit = connection_limit
@@ -65,6 +67,7 @@
         self._spawn = spawn
         self._receive_budget = receive_budget
         self._on_connect = on_connect
+        self._on_statement = on_statement
         self._idle: list[ServerConnection] = []
         self._open: set[ServerConnection] = set()
         self._queue: deque[Exchange] = deque()
@@ -197,9 +200,8 @@
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
-                        self._conventions.attempt_id,
-                        self._conventions.signature,
-                        self._conventions.stated_limit,
+                        self._conventions,
+                        self._on_statement,
                         self._on_idle,
                         self._on_lost,
                         self._timers.now,
--- a/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -61,7 +61,7 @@
 
 
 @asynccontextmanager
-async def open_pool(*scripts, connection_limit=4, budget=None):
+async def open_pool(*scripts, connection_limit=4, budget=None, **options):
     """Yield a scripted server and a pool of connections to it."""
     scripted = ScriptedServer(*scripts)
     server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
@@ -76,6 +76,7 @@
             timers,
             tasks.start_soon,
             budget or ReceiveBudget(),
+            **options,
         )
         yield scripted, pool, timers
         pool.abort()
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
@@ -2,6 +2,7 @@
 import pytest
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
+from crocusbay_gateway.state import ServerStatement
 from crocusbay_gateway.transport import Listening
 from crocusbay_gateway.transport.tests.scripted import (
     END,
@@ -132,11 +133,41 @@
 
 
 @pytest.mark.parametrize(
-    ("header", "stated"), [(b"", b""), (b"x-limit: 12.5\r\n", b"12.5")]
+    ("response", "stated"),
+    [
+        (ok_response(), ServerStatement()),
+        (ok_response(extra=b"x-limit: 12.5\r\n"), ServerStatement(b"12.5")),
+        (ok_response(extra=b"X-Leaving: 1\r\n"), ServerStatement(is_leaving=True)),
+        (ok_response(extra=b"X-Leaving: 0\r\n"), ServerStatement()),
+        # A time to return that is not that of a rejection.
+        (ok_response(extra=b"Retry-After: 3\r\n"), ServerStatement()),
+        (
+            b"HTTP/1.1 503 X\r\nretry-after: 3\r\nContent-Length: 0\r\n\r\n",
+            ServerStatement(rest=b"3"),
+        ),
+        # The response is cut off, or belongs to another attempt.
+        (
+            b"HTTP/1.1 200 X\r\nX-Leaving: 1\r\nContent-Length: 9\r\n\r\nhalf",
+            ServerStatement(is_leaving=True),
+        ),
+        (
+            b"HTTP/1.1 200 X\r\nX-Attempt: other\r\nX-Leaving: 1\r\n"
+            b"Content-Length: 0\r\n\r\n",
+            ServerStatement(is_leaving=True),
+        ),
+        # Another server responds at the address.
+        (
+            b"HTTP/1.1 421 X\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+            None,
+        ),
+    ],
 )
-async def test_limit_that_a_server_states_is_in_its_response(header, stated):
-    script = (ok_response(extra=header), ok_response())
-    async with open_pool(script[:1], script[1:]) as (_, pool, timers):
-        first = await send_request(pool, timers)
-        second = await send_request(pool, timers)
-    assert [each.response.stated_limit for each in (first, second)] == [stated, b""]
+async def test_statement_of_a_server_is_reported_with_any_response(response, stated):
+    statements = []
+    async with open_pool((response, END), on_statement=statements.append) as (
+        _,
+        pool,
+        timers,
+    ):
+        await send_request(pool, timers)
+    assert statements == ([] if stated is None else [stated])
