--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -49,6 +49,9 @@
     silent_share: float = 0.0
     # Requests per second from all hosts together, as stated in the responses.
     stated_limit: float | None = None
+    # Time for which a host that is rejected shall send nothing (seconds).
+    rest_seconds: float | None = None
+    states_leaving: bool = False
 
 
 def make_records(service: str, attempt_id: str) -> list[bytes]:
@@ -202,12 +205,12 @@
         await self.start()
 
     def _make_refusal(self, headers: dict[bytes, bytes]) -> Reply | None:
-        not_run = ((HTTP_CONVENTIONS.not_run, b"1"), *self._limit_headers())
+        not_run = ((HTTP_CONVENTIONS.not_run, b"1"), *self._statement_headers())
         if headers[HTTP_CONVENTIONS.expected_server.lower()] != self.name.encode():
             return Reply(HTTP_CONVENTIONS.wrong_server_status, not_run)
         is_full = self._pending_requests >= CONCURRENCY_LIMIT + QUEUE_LIMIT
         if is_full or self.rng.random() < self.behaviour.refused_share:
-            return Reply(503, not_run)
+            return Reply(503, not_run, retry_after=self.behaviour.rest_seconds)
         return None
 
     def _write_response(self, attempt_id: str, writer: asyncio.StreamWriter) -> bool:
@@ -223,7 +226,7 @@
         headers = (
             (HTTP_CONVENTIONS.attempt_id, attempt_id.encode()),
             (HTTP_CONVENTIONS.signature, make_signature(self.name, attempt_id)),
-            *self._limit_headers(),
+            *self._statement_headers(),
         )
         data = encode_reply(Reply(status, headers, b"".join(records)))
         if self.rng.random() < behaviour.garbled_share:
@@ -237,11 +240,14 @@
             writer.write(data)
         return True
 
-    def _limit_headers(self) -> Headers:
-        limit = self.behaviour.stated_limit
-        if limit is None:
-            return ()
-        return ((HTTP_CONVENTIONS.stated_limit, str(limit).encode()),)
+    def _statement_headers(self) -> Headers:
+        headers = []
+        if self.behaviour.stated_limit is not None:
+            limit = str(self.behaviour.stated_limit).encode()
+            headers.append((HTTP_CONVENTIONS.stated_limit, limit))
+        if self.behaviour.states_leaving:
+            headers.append((HTTP_CONVENTIONS.leaving, b"1"))
+        return tuple(headers)
 
     def _record_request(self, attempt_id: str, *, has_run: bool) -> None:
         now = asyncio.get_running_loop().time()
