Use a server no more once it states that it leaves

Servers that had said in their responses that they leave got requests until the store told of it; while the store was silent, for good. The lines rule out that some kinds of attempts only pass: first ones, hedges and relayed ones did.

A server that says so, to this host or another one, counts as draining does: it is not chosen, a relay refuses to send to it, and requests that wait for a connection go elsewhere. The statement belongs to a process, by name and start: it holds if the entry is removed and comes back, and not for a successor. Heartbeats carry it with the limits, in one report; hosts of the previous version ignore the added field.

--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -1,9 +1,10 @@
 """Registry of the known servers, with the connections to them and their health."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
+from crocusbay.state import Cause
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.health import ServerHealth
 from crocusbay_gateway.coordination.membership import MIN_HOST_COUNT
@@ -31,6 +32,8 @@
 # The entry of a server that crashed is removed or replaced within this time.
 END_DETECTION_SECONDS = 8.0
 MAX_END_LISTENERS = 64
+# Leaving processes that are remembered; far more than leave within minutes.
+MAX_LEAVING_PROCESSES = 10_000
 
 
 @dataclass(slots=True)
@@ -51,16 +54,21 @@
         default_factory=lambda: deque(maxlen=MAX_END_LISTENERS)
     )
 
-    @property
-    def is_in_use(self) -> bool:
-        """Return whether the server is neither leaving nor removed."""
-        return self.entry.is_usable and not self.pool.is_closed
-
     @property
     def is_leaving(self) -> bool:
         """Return whether the server has stated that it leaves."""
         return self.leaving_since is not None
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether the server accepts new requests."""
+        return self.entry.is_usable and not self.is_leaving
+
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether the server is neither leaving nor removed."""
+        return self.is_usable and not self.pool.is_closed
+
     def is_resting(self, now: float) -> bool:
         """Return whether the server has asked this host for a pause."""
         return now < self.rest_until
@@ -78,7 +86,7 @@
     def handle_end(self, now: float) -> None:
         """Close the connections, and tell listeners if the server had not left."""
         self.pool.close()
-        if self.entry.is_draining:
+        if self.entry.is_draining or self.is_leaving:
             return
         for since, listener in self._end_listeners:
             if now - since < END_DETECTION_SECONDS:
@@ -113,6 +121,9 @@
         self._spawn = spawn
         self._receive_budget = ReceiveBudget()
         self._by_name: dict[str, Server] = {}
+        # When processes, by name and start, first stated that they leave. Their entries
+        # may be removed and come back while they run.
+        self._leaving_since: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._limit_by_service: dict[str, int] = {}
 
@@ -149,9 +160,25 @@
         """Add, update or remove the servers of changed entries."""
         for entry in entries:
             self._apply(entry)
+        self._group_by_service()
+
+    def record_leaving(self, name: str, started_at: int) -> None:
+        """Use a process no more; it does not take its statement back."""
+        process = name, started_at
+        self._leaving_since.setdefault(process, self._timers.now())
+        self._leaving_since.move_to_end(process)
+        while len(self._leaving_since) > MAX_LEAVING_PROCESSES:
+            self._leaving_since.popitem(last=False)
+        server = self.find_process(name, started_at)
+        if server is not None and not server.is_leaving:
+            server.leaving_since = self._leaving_since[process]
+            server.pool.fail_queued(Cause.DRAINING)
+            self._group_by_service()
+
+    def _group_by_service(self) -> None:
         grouped: dict[str, list[Server]] = {}
         for server in self._by_name.values():
-            if server.entry.is_usable:
+            if server.is_usable:
                 grouped.setdefault(server.entry.service, []).append(server)
         self.by_service = grouped
 
@@ -198,7 +225,7 @@
     def find_server(self, service: str, name: str) -> Server | None:
         """Return a server by name, or None if not usable for the service."""
         server = self._by_name.get(name)
-        if server is None or not server.entry.is_usable:
+        if server is None or not server.is_usable:
             return None
         return server if server.entry.service == service else None
 
@@ -286,6 +313,7 @@
             ),
             ServerHealth(self._timers.now() + entry.warm_up_time),
             is_remote=entry.data_centre != self._data_centre,
+            leaving_since=self._leaving_since.get((entry.name, entry.started_at)),
         )
         self._by_name[entry.name] = server
 
--- a/packages/gateway/crocusbay_gateway/coordination/server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/server_statements.py
@@ -21,6 +21,8 @@
 SOURCE_PEER = "peer"
 # Reports in one heartbeat, limited so that it fits into a datagram.
 MAX_SHARED_LIMITS = 8
+# Reported for a server that has stated none; older than any statement.
+NO_LIMIT = StatedLimit(None, -1e9)
 # The end of a limit is reported for this time, after which every host has heard of it.
 END_SHARING_SECONDS = 3.0
 # A limit that no response has confirmed for this time no longer counts.
@@ -42,45 +44,62 @@
         self._metrics = metrics
         self._timers = timers
         self._share = 1.0
-        # Servers with a limit or the recent end of one, in the order of the reports.
+        # Servers that leave, or with a limit or the recent end of one, in the order of
+        # the reports.
         self._servers: OrderedDict[str, Server] = OrderedDict()
         registry.on_statement = self.record_statement
 
     def set_share(self, share: float) -> None:
-        """Set this host's share of every limit, and drop the limits that lapsed."""
+        """Set this host's share of every limit, and drop what has lapsed."""
         self._share = share
         now = self._timers.now()
         for name, server in list(self._servers.items()):
-            limit = server.limit
-            age = now - limit.stated.stated_at
-            max_age = RETENTION_SECONDS if limit.is_in_force else END_SHARING_SECONDS
-            if age <= max_age and not server.pool.is_closed:
-                limit.update(limit.stated, share, now)
-                continue
-            if limit.is_in_force:
-                self._log.info(
-                    "server-limit-lapsed", server=name, limit=limit.stated.rate, age=age
-                )
-            server.limit = None
-            del self._servers[name]
+            if server.limit is not None:
+                self._update_limit(server, now)
+            is_known = server.limit is not None or server.is_leaving
+            if server.pool.is_closed or not is_known:
+                del self._servers[name]
+
+    def _update_limit(self, server: Server, now: float) -> None:
+        """Apply the share of a limit, or drop the limit if it lapsed."""
+        limit = server.limit
+        age = now - limit.stated.stated_at
+        max_age = RETENTION_SECONDS if limit.is_in_force else END_SHARING_SECONDS
+        if age <= max_age:
+            limit.update(limit.stated, self._share, now)
+            return
+        if limit.is_in_force:
+            self._log.info(
+                "server-limit-lapsed",
+                server=server.entry.name,
+                limit=limit.stated.rate,
+                age=age,
+            )
+        server.limit = None
 
     def record_statement(self, server: Server, statement: ServerStatement) -> None:
         """Record what a server states in a response."""
-        if statement.is_leaving and not server.is_leaving:
-            self._record_leaving(server)
+        if statement.is_leaving:
+            self._record_leaving(server.entry.name, server.entry.started_at, SOURCE_OWN)
         if statement.rest:
             self._record_rest(server, statement.rest)
         if statement.limit or server.limit is not None:
             self._record_limit(server, statement.limit)
 
-    def _record_leaving(self, server: Server) -> None:
-        server.leaving_since = self._timers.now()
-        self._log.info(
-            "server-leaving",
-            server=server.entry.name,
-            service=server.entry.service,
-            source=SOURCE_OWN,
-        )
+    def _record_leaving(self, name: str, started_at: int, source: str) -> None:
+        """Record that a process leaves; report it while it is in the registry."""
+        server = self._registry.find_process(name, started_at)
+        is_new = server is not None and not server.is_leaving
+        self._registry.record_leaving(name, started_at)
+        if server is not None:
+            self._track(server)
+        if is_new:
+            self._log.info(
+                "server-leaving",
+                server=name,
+                service=server.entry.service,
+                source=source,
+            )
 
     def _record_rest(self, server: Server, value: bytes) -> None:
         """Record for how long a server wants no requests of this host."""
@@ -118,6 +137,8 @@
         """Record what other hosts know, unless this host knows something newer."""
         now = self._timers.now()
         for report in reports:
+            if report.is_leaving:
+                self._record_leaving(report.server, report.started_at, SOURCE_PEER)
             server = self._registry.find_process(report.server, report.started_at)
             if server is None:
                 continue
@@ -135,10 +156,15 @@
         for name in list(self._servers)[:MAX_SHARED_LIMITS]:
             self._servers.move_to_end(name)
             server = self._servers[name]
-            stated = server.limit.stated
-            age = round(now - stated.stated_at, 3)
+            stated = server.limit.stated if server.limit else NO_LIMIT
             reports.append(
-                ServerReport(name, server.entry.started_at, stated.rate, age)
+                ServerReport(
+                    name,
+                    server.entry.started_at,
+                    stated.rate,
+                    round(now - stated.stated_at, 3),
+                    server.is_leaving,
+                )
             )
         return tuple(reports)
 
@@ -155,6 +181,14 @@
         if server.limit is not None and server.limit.is_in_force:
             self._metrics.limited_attempts.inc("relayed")
 
+    def _track(self, server: Server) -> None:
+        """Report a server to other hosts, soon if it is new."""
+        name = server.entry.name
+        is_new = name not in self._servers
+        self._servers[name] = server
+        if is_new:
+            self._servers.move_to_end(name, last=False)
+
     def _record_unwanted(self, server: Server, reason: str, request_id: str) -> None:
         is_resting = server.is_resting(self._timers.now())
         for statement, is_stated in (
@@ -179,11 +213,7 @@
             server.limit = ServerLimit(stated, self._share, now, random.random())
         else:
             server.limit.update(stated, self._share, now)
-        if name not in self._servers:
-            self._servers[name] = server
-            self._servers.move_to_end(name, last=False)
-        elif self._servers[name] is not server:
-            self._servers[name] = server
+        self._track(server)
         if stated.rate != previous:
             self._log.info(
                 "server-limit",
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -130,6 +130,9 @@
         self.close_count += 1
         self.is_closed = True
 
+    def fail_queued(self, cause):
+        pass
+
     def _respond(self, exchange, script):
         if exchange.channel.current_exchange is None:
             return
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
@@ -19,7 +19,7 @@
     run_to_completion,
 )
 from crocusbay_gateway.protocol import ServerReport
-from crocusbay_gateway.state import ServerStatement, ToShards
+from crocusbay_gateway.state import ServerEntry, ServerStatement, ToShards
 
 pytestmark = pytest.mark.anyio
 
@@ -167,6 +167,62 @@
     assert (reply.retry_after is not None) == (status == 503)
 
 
+def leaving_report(server="s-1", started_at=0):
+    return ServerReport(server, started_at, None, 1e9, is_leaving=True)
+
+
+@pytest.mark.parametrize("source", ["own", "peer"])
+def test_server_that_leaves_is_not_used_and_reported(source):
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    statements = gateway.context.server_statements
+    if source == "own":
+        record_statement(gateway, is_leaving=True)
+    else:
+        statements.record_reports((leaving_report(),))
+    assert gateway.registry.find_server("s", "s-1") is None
+    assert [s.entry.name for s in gateway.registry.servers()] == ["s-2"]
+    (report,) = statements.reports_to_share()
+    assert (report.server, report.is_leaving) == ("s-1", True)
+    # A heartbeat later, the server still leaves and is reported.
+    statements.set_share(0.5)
+    assert statements.reports_to_share()
+    (event,) = logged_events(gateway, "server-leaving")
+    assert event["source"] == source
+
+
+def test_report_of_a_leaving_server_does_not_end_a_limit():
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    record_statement(gateway, b"8")
+    gateway.context.server_statements.record_reports((leaving_report(),))
+    server = gateway.registry.find_process("s-1", 0)
+    assert server.is_leaving
+    assert server.limit.stated.rate == 8.0
+
+
+@pytest.mark.parametrize(
+    ("started_at", "is_usable"),
+    [
+        # The entry of the process was removed, or was not known yet.
+        (0, False),
+        # Another process, at the same address.
+        (5, True),
+    ],
+)
+@pytest.mark.parametrize("is_known", [True, False])
+def test_leaving_concerns_a_process_and_not_its_name(started_at, is_usable, is_known):
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    registry = gateway.registry
+    entry = registry.find_server("s", "s-1").entry
+    removal = ServerEntry("s-1", 2, is_removed=True)
+    if not is_known:
+        registry.apply_entries([removal])
+    gateway.context.server_statements.record_reports((leaving_report(),))
+    registry.apply_entries([removal])
+    returned = msgspec.structs.replace(entry, revision=3, started_at=started_at)
+    registry.apply_entries([returned])
+    assert (registry.find_server("s", "s-1") is not None) == is_usable
+
+
 def test_refused_callers_return_one_after_the_other():
     limit = ServerLimit(StatedLimit(10.0, 0.0), 0.5, 0.0)
     for _ in range(3):
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -32,13 +32,14 @@
     """Report what a server last stated, `age` seconds ago.
 
     `rate` is the requests per second that it takes from all hosts together, or None if
-    it stated no limit.
+    it stated no limit. `is_leaving` is whether it ever stated that it leaves.
     """
 
     server: str
     started_at: int
     rate: float | None
     age: float
+    is_leaving: bool = False
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/crocusbay_gateway/protocol/tests/test_older_versions.py
+++ b/packages/gateway/crocusbay_gateway/protocol/tests/test_older_versions.py
@@ -3,13 +3,19 @@
 import msgspec
 import pytest
 
-from crocusbay_gateway.protocol import Heartbeat, ViewQuery, ViewResponse
+from crocusbay_gateway.protocol import (
+    Heartbeat,
+    ServerReport,
+    ViewQuery,
+    ViewResponse,
+)
 from crocusbay_gateway.state import Configuration, HostStatus, ServerEntry
 
 # Messages as the previous version encodes them: arrays, fields added at the end only.
 STATUS = ["h", 1, 2, "a", "h:80", "h:81", True, False, True, 4.0, 0.1, 57, 0.5]
 STATUS += [58, 59, 0.5, 0, False, True]
-HEARTBEAT = [STATUS, [["i", "i:81", "b"]], [], {"a": 2}, [], {"a": 8.0}, []]
+REPORT = ["s", 5, 12.5, 0.2]
+HEARTBEAT = [STATUS, [["i", "i:81", "b"]], [], {"a": 2}, [REPORT], {"a": 8.0}, []]
 QUERY = ["view", 57, 58]
 RESPONSE = [57, 0.5, 58, 59, 0.5, None, [], 0]
 
@@ -20,6 +26,7 @@
     ("message_type", "sent"),
     [
         (HostStatus, STATUS),
+        (ServerReport, REPORT),
         (Heartbeat, HEARTBEAT),
         (ViewQuery, QUERY),
         (ViewResponse, RESPONSE),
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -145,7 +145,7 @@
         self._is_closed = True
         for connection in list(self._idle):
             connection.close()
-        self._fail_queued(Cause.LEAVING)
+        self.fail_queued(Cause.LEAVING)
 
     def abort(self) -> None:
         """Close every connection immediately."""
@@ -214,7 +214,7 @@
             self._connecting -= 1
             self._on_connect(False)
             if not self._open and not self._connecting:
-                self._fail_queued(Cause.CONNECT_FAILED)
+                self.fail_queued(Cause.CONNECT_FAILED)
             is_refused = isinstance(error, ConnectionRefusedError)
             return Listening.REFUSED if is_refused else Listening.UNKNOWN
         self._connecting -= 1
@@ -251,7 +251,8 @@
         if self._queue and not self._is_closed:
             self._open_if_needed()
 
-    def _fail_queued(self, cause: Cause) -> None:
+    def fail_queued(self, cause: Cause) -> None:
+        """Fail the exchanges that wait for a connection."""
         queued, self._queue = self._queue, deque()
         for exchange in queued:
             exchange.finish(NotRun(cause))
--- a/packages/standins/crocusbay_standins/emulator/tests/test_leaving_and_rest.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_leaving_and_rest.py
@@ -78,9 +78,10 @@
 
 
 async def expire_and_return_entries(deployment):
-    """Have the store remove the entries of all servers, which write them again."""
+    """Have the store remove the entries of servers, which write them again."""
     await asyncio.sleep(STABLE_SECONDS)
-    deployment.store.expire_servers()
+    for server in deployment.servers[::2]:
+        deployment.store.remove_server(server.name)
 
 
 @pytest.mark.parametrize("kinds", [GATHERS, FETCHES])
