Send nothing to a server for as long as it asks for a rest

A rest is a time before which the host does not send to the server, as the pace of a stated limit is: such a server is not chosen, a relay refuses to send to it and tells for how long, requests that wait for a connection go elsewhere, and the host that asked the relay keeps to it as well. The longest rest counts, hosts return at slightly different times, and a rest that is not a number of seconds is logged and ignored. If all copies rest, requests are refused at once with the time of the first to return; if too many shards do, no other shard is asked.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -1,7 +1,7 @@
 """Attempts: single sends of a request to one server, and their latency estimates."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.context import Context
@@ -279,6 +279,12 @@
 
     def _interpret_response(self, verdict: Verdict) -> Verdict:
         """Return the verdict, or `NotRun` if the response states that nothing ran."""
+        if isinstance(verdict, NotRun) and verdict.retry_after and self.exchange.relay:
+            self._context.server_statements.record_relayed_rest(
+                self.server, verdict.retry_after
+            )
+            # When the request may be sent depends on the other servers too.
+            return replace(verdict, retry_after=0.0)
         if not isinstance(verdict, Ran):
             return verdict
         response = verdict.response
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -1,5 +1,7 @@
 """Forwarding of a request to one server of a service, with retries and a hedge."""
 
+from dataclasses import replace
+
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay_gateway.coordination.attempt import (
     CONNECT_WAIT_SECONDS,
@@ -85,7 +87,7 @@
 
     def _wait_for_limit(self) -> None:
         """Wait if the servers' limits soon allow the request, else refuse it."""
-        delay = self._context.registry.limit_delay(
+        delay = self._context.registry.send_delay(
             self._service, is_urgent=self._route.is_urgent
         )
         max_delay = MAX_LIMIT_WAIT_SHARE_OF_GOAL * self._route.latency_goal
@@ -108,7 +110,7 @@
             return NotRun(Cause.QUARANTINED)
         if not registry.has_server(self._service):
             return NotRun(Cause.NO_UPSTREAM)
-        if registry.limit_delay(self._service, is_urgent=self._route.is_urgent):
+        if registry.send_delay(self._service, is_urgent=self._route.is_urgent):
             return NotRun(Cause.SERVER_LIMIT, registry.reserve_return(self._service))
         return NotRun(Cause.OVERLOAD)
 
@@ -204,7 +206,16 @@
         if self._send("retry"):
             self.retries += 1
         else:
-            self._fail(self._failure)
+            self._fail(self._with_return_time(self._failure))
+
+    def _with_return_time(self, failure: Verdict) -> Verdict:
+        """Return the failure with when a server may be sent to, if that is known."""
+        registry = self._context.registry
+        if not isinstance(failure, NotRun) or not registry.send_delay(
+            self._service, is_urgent=self._route.is_urgent
+        ):
+            return failure
+        return replace(failure, retry_after=registry.reserve_return(self._service))
 
     def _give_up(self) -> None:
         if self._in_flight and any(
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -107,20 +107,20 @@
         self._call_at(now + self._latency.hedge_delay, self._hedge_late_sub_requests)
         self._apply_policy()
 
-    def _limit_delay(self, sub_request: SubRequestState) -> float:
+    def _send_delay(self, sub_request: SubRequestState) -> float:
         """Return the time until the limits of a shard's servers allow the request."""
-        return self._context.registry.limit_delay(
+        return self._context.registry.send_delay(
             sub_request.service, is_urgent=self._route.is_urgent
         )
 
     def _is_within_limits(self) -> bool:
         """Return whether the servers' limits leave enough shards for a reply."""
-        allowed = sum(self._limit_delay(each) == 0.0 for each in self.sub_requests)
+        allowed = sum(self._send_delay(each) == 0.0 for each in self.sub_requests)
         return allowed >= min(self._policy.min_parts, len(self.sub_requests))
 
     def _refuse_for_limits(self) -> None:
         """Refuse the request before it uses up what some of the shards allow."""
-        latest = max(self.sub_requests, key=self._limit_delay)
+        latest = max(self.sub_requests, key=self._send_delay)
         retry_after = self._context.registry.reserve_return(latest.service)
         for sub_request in self.sub_requests:
             sub_request.failure = NotRun(Cause.SERVER_LIMIT, retry_after)
@@ -133,7 +133,7 @@
             sub_request.failure = NotRun(Cause.QUARANTINED)
             self._fail(sub_request)
             return
-        delay = self._limit_delay(sub_request)
+        delay = self._send_delay(sub_request)
         send_at = self._now() + delay
         answer_at = self._policy.partial_answer_at - self._latency.median.value
         if delay > 0.0 and send_at < answer_at:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -32,8 +32,8 @@
 # The entry of a server that crashed is removed or replaced within this time.
 END_DETECTION_SECONDS = 8.0
 MAX_END_LISTENERS = 64
-# Leaving processes that are remembered; far more than leave within minutes.
-MAX_LEAVING_PROCESSES = 10_000
+# Processes whose statements are remembered; far more than leave within minutes.
+MAX_REMEMBERED_PROCESSES = 10_000
 
 
 @dataclass(slots=True)
@@ -69,15 +69,16 @@
         """Return whether the server is neither leaving nor removed."""
         return self.is_usable and not self.pool.is_closed
 
-    def is_resting(self, now: float) -> bool:
-        """Return whether the server has asked this host for a pause."""
-        return now < self.rest_until
+    def rest_time(self, now: float) -> float:
+        """Return for how long the server wants no requests of this host (seconds)."""
+        return max(0.0, self.rest_until - now)
 
-    def limit_delay(self, now: float, *, is_urgent: bool) -> float:
+    def send_delay(self, now: float, *, is_urgent: bool = True) -> float:
         """Return the time until this host may send to the server (seconds)."""
+        rest_time = self.rest_time(now)
         if self.limit is None:
-            return 0.0
-        return self.limit.delay(now, is_urgent=is_urgent)
+            return rest_time
+        return max(rest_time, self.limit.delay(now, is_urgent=is_urgent))
 
     def on_end(self, listener: Callable[[], None], now: float) -> None:
         """Call a listener if the server soon ends without leaving first."""
@@ -124,6 +125,8 @@
         # When processes, by name and start, first stated that they leave. Their entries
         # may be removed and come back while they run.
         self._leaving_since: OrderedDict[tuple[str, int], float] = OrderedDict()
+        # Until when such processes rest whose entries were removed meanwhile.
+        self._rest_until: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._limit_by_service: dict[str, int] = {}
 
@@ -165,10 +168,8 @@
     def record_leaving(self, name: str, started_at: int) -> None:
         """Use a process no more; it does not take its statement back."""
         process = name, started_at
-        self._leaving_since.setdefault(process, self._timers.now())
-        self._leaving_since.move_to_end(process)
-        while len(self._leaving_since) > MAX_LEAVING_PROCESSES:
-            self._leaving_since.popitem(last=False)
+        since = self._leaving_since.get(process, self._timers.now())
+        _remember(self._leaving_since, process, since)
         server = self.find_process(name, started_at)
         if server is not None and not server.is_leaving:
             server.leaving_since = self._leaving_since[process]
@@ -200,8 +201,8 @@
     ) -> Server | None:
         """Return the server with the least expected cost, or None if none may be used.
 
-        A server whose limit leaves no room for another send is not used. If every
-        server is backed off, one without requests in flight is tried.
+        A server that rests, or whose limit leaves no room for another send, is not
+        used. If every server is backed off, one without requests in flight is tried.
         """
         now = self._timers.now()
         best, best_cost = None, float("inf")
@@ -211,7 +212,7 @@
                 continue
             if server.health.is_misdirected(now):
                 continue
-            if server.limit_delay(now, is_urgent=is_urgent) > 0.0:
+            if server.send_delay(now, is_urgent=is_urgent) > 0.0:
                 continue
             cost = server.cost(now)
             if not server.health.is_available(now):
@@ -236,12 +237,12 @@
             return None
         return server
 
-    def limit_delay(self, service: str, *, is_urgent: bool) -> float:
-        """Return the time until the limits allow a send to the service (seconds)."""
+    def send_delay(self, service: str, *, is_urgent: bool) -> float:
+        """Return the time until a server of the service may get a send (seconds)."""
         now = self._timers.now()
         return min(
             (
-                server.limit_delay(now, is_urgent=is_urgent)
+                server.send_delay(now, is_urgent=is_urgent)
                 for server in self.by_service.get(service, ())
                 if not server.health.is_misdirected(now)
             ),
@@ -249,16 +250,15 @@
         )
 
     def reserve_return(self, service: str) -> float:
-        """Return when a caller refused for the limits may return (seconds)."""
+        """Return when a caller refused for limits or rests may return (seconds)."""
         now = self._timers.now()
-        limits = [
-            server.limit
-            for server in self.by_service.get(service, ())
-            if server.limit is not None and server.limit.is_in_force
-        ]
-        if not limits:
+        servers = self.by_service.get(service, ())
+        if not servers:
             return 0.0
-        return min(limits, key=lambda limit: limit.delay(now)).reserve_return(now)
+        first = min(servers, key=lambda server: server.send_delay(now))
+        if first.limit is None:
+            return first.rest_time(now)
+        return max(first.rest_time(now), first.limit.reserve_return(now))
 
     def has_server(self, service: str) -> bool:
         """Return whether any server of the service is usable."""
@@ -292,6 +292,9 @@
         known = self._by_name.get(entry.name)
         if known is not None and not self._is_same_process(known.entry, entry):
             known.handle_end(self._timers.now())
+            if known.rest_time(self._timers.now()):
+                process = known.entry.name, known.entry.started_at
+                _remember(self._rest_until, process, known.rest_until)
             del self._by_name[entry.name]
             known = None
         if entry.is_removed:
@@ -314,6 +317,9 @@
             ServerHealth(self._timers.now() + entry.warm_up_time),
             is_remote=entry.data_centre != self._data_centre,
             leaving_since=self._leaving_since.get((entry.name, entry.started_at)),
+            rest_until=self._rest_until.pop(
+                (entry.name, entry.started_at), float("-inf")
+            ),
         )
         self._by_name[entry.name] = server
 
@@ -352,5 +358,14 @@
             server.pool.connection_limit = self._connection_limit(server.entry.service)
 
 
+def _remember(
+    by_process: OrderedDict[tuple[str, int], float], process: tuple[str, int], at: float
+) -> None:
+    by_process[process] = at
+    by_process.move_to_end(process)
+    while len(by_process) > MAX_REMEMBERED_PROCESSES:
+        by_process.popitem(last=False)
+
+
 def _ignore_statement(server: Server, statement: ServerStatement) -> None:
     """Take the place of a callback that is not set yet."""
--- a/packages/gateway/crocusbay_gateway/coordination/relay_call.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_call.py
@@ -5,7 +5,7 @@
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.relay import ROUND_TRIP_SECONDS
-from crocusbay_gateway.protocol import RelayResponse
+from crocusbay_gateway.protocol import RelayedFailure, RelayResponse
 from crocusbay_gateway.state import ServerResponse
 from crocusbay_gateway.transport import Exchange
 
@@ -92,8 +92,7 @@
             exchange = self._detach(failure.sub_request_index)
             if exchange is not None:
                 exchange.is_sent = failure.is_sent
-                kind = MayHaveRun if failure.may_have_run else NotRun
-                exchange.finish(kind(failure.cause, detail=failure.detail))
+                exchange.finish(_verdict_of(failure))
 
     def cancel_sub_request(self, index: int) -> None:
         """Record a cancellation; those made at the same moment share one message."""
@@ -122,3 +121,9 @@
 
     def _detach(self, index: int) -> Exchange | None:
         return self._channels[index].detach() if index < len(self._channels) else None
+
+
+def _verdict_of(failure: RelayedFailure) -> MayHaveRun | NotRun:
+    if failure.may_have_run:
+        return MayHaveRun(failure.cause, detail=failure.detail)
+    return NotRun(failure.cause, failure.rest_time, detail=failure.detail)
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -1,6 +1,7 @@
 """Relay server: query servers in this data centre for another host and merge parts."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
 from crocusbay.transport.timers import Timer
@@ -87,6 +88,10 @@
             if self._crashes.is_quarantined():
                 self._add_failure(index, NotRun(Cause.QUARANTINED), is_sent=False)
                 continue
+            if server.rest_time(now):
+                failure = NotRun(Cause.SHED, server.rest_time(now))
+                self._add_failure(index, failure, is_sent=False)
+                continue
             attempt = Attempt(
                 self._context,
                 self._request,
@@ -134,6 +139,9 @@
             self._attempt_factory.log_failure(
                 self._query.sub_requests[index].service, attempt, verdict
             )
+            rest_time = attempt.server.rest_time(self._context.timers.now())
+            if isinstance(verdict, NotRun) and rest_time:
+                verdict = replace(verdict, retry_after=rest_time)
             self._add_failure(index, verdict, is_sent=attempt.is_sent)
         self._flush_if_needed()
 
@@ -154,6 +162,7 @@
                 isinstance(verdict, MayHaveRun),
                 verdict.cause,
                 verdict.detail,
+                verdict.retry_after if isinstance(verdict, NotRun) else 0.0,
             )
         )
 
--- a/packages/gateway/crocusbay_gateway/coordination/server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/server_statements.py
@@ -3,9 +3,11 @@
 import random
 from collections import OrderedDict
 
+from crocusbay.state import Cause
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.registry import Registry, Server
 from crocusbay_gateway.coordination.stated_limit import (
+    MAX_REST_SECONDS,
     ServerLimit,
     StatedLimit,
     parse_limit,
@@ -27,6 +29,9 @@
 END_SHARING_SECONDS = 3.0
 # A limit that no response has confirmed for this time no longer counts.
 RETENTION_SECONDS = 30.0
+# Share of a rest by which hosts return at different times, and its maximum.
+REST_JITTER = 0.1
+MAX_REST_JITTER_SECONDS = 0.5
 
 
 class ServerStatements:
@@ -110,16 +115,31 @@
                 "server-rest-ignored", server=server.entry.name, reason=str(error)
             )
             return
+        self._set_rest(server, rest, SOURCE_OWN)
+
+    def record_relayed_rest(self, server: Server, rest: float) -> None:
+        """Record for how long a relay may not send to a server."""
+        self._set_rest(server, min(rest, MAX_REST_SECONDS), SOURCE_PEER)
+
+    def _set_rest(self, server: Server, rest: float, source: str) -> None:
+        """Send nothing to a server for some time (seconds).
+
+        A rest that ends earlier than a known one changes nothing.
+        """
         now = self._timers.now()
-        is_new = not server.is_resting(now)
-        # A rest that ends earlier is included in the one that is known.
-        server.rest_until = max(server.rest_until, now + rest)
-        if is_new and rest:
+        if rest <= server.rest_time(now):
+            return
+        is_new = not server.rest_time(now)
+        jitter = random.uniform(0.0, min(MAX_REST_JITTER_SECONDS, REST_JITTER * rest))
+        server.rest_until = now + rest + jitter
+        server.pool.fail_queued(Cause.SHED)
+        if is_new:
             self._log.info(
                 "server-rest",
                 server=server.entry.name,
                 service=server.entry.service,
-                seconds=rest,
+                seconds=round(rest, 3),
+                source=source,
             )
 
     def _record_limit(self, server: Server, value: bytes) -> None:
@@ -190,7 +210,7 @@
             self._servers.move_to_end(name, last=False)
 
     def _record_unwanted(self, server: Server, reason: str, request_id: str) -> None:
-        is_resting = server.is_resting(self._timers.now())
+        is_resting = server.rest_time(self._timers.now()) > 0.0
         for statement, is_stated in (
             ("leaving", server.is_leaving),
             ("resting", is_resting),
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
@@ -26,7 +26,7 @@
     run_to_completion,
 )
 from crocusbay_gateway.protocol import RelayCancel, RelayQuery, RelayResponse
-from crocusbay_gateway.state import HostStatus, ToShards
+from crocusbay_gateway.state import HostStatus, ServerStatement, ToShards
 
 SHARDS = tuple(f"s{number}" for number in range(6))
 SERVERS = {shard: [(f"{shard}-a", "a"), (f"{shard}-b", "b")] for shard in SHARDS}
@@ -328,6 +328,36 @@
     assert relay_server.running_count == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "statement", [ServerStatement(rest=b"3"), ServerStatement(is_leaving=True)]
+)
+async def test_server_that_wants_no_requests_of_a_relay_gets_none(statement):
+    """The requesting host does not know yet, and uses the other copy."""
+    topology = RelayTopology()
+    peer, _, _ = topology.peers["b"]
+    server = peer.registry.find_server("s0", "s0-b")
+    peer.registry.on_statement(server, statement)
+    # The copies in this host's own data centre are not used.
+    for shard in SHARDS:
+        local = topology.gateway.registry.find_server(shard, f"{shard}-a")
+        if shard != "s0":
+            topology.gateway.registry.on_statement(local, ServerStatement(rest=b"9"))
+        else:
+            local.health.record_result(
+                MayHaveRun(Cause.SILENT), 0.0, 0.1, topology.gateway.timers.now()
+            )
+    reply, elapsed = await run_to_completion(topology.gateway, topology.make_handler())
+    assert reply.status == 200
+    assert elapsed < GOAL
+    counts = topology.received_counts()
+    assert counts["s0-b"] == 0
+    assert counts["s0-a"] == 1
+    if statement.rest:
+        known = topology.gateway.registry.find_server("s0", "s0-b")
+        assert known.rest_time(topology.gateway.timers.now()) > 0.0
+
+
 @pytest.mark.parametrize(
     ("hosts", "expected"),
     [
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
@@ -4,22 +4,35 @@
 import pytest
 
 from crocusbay_gateway.coordination.attempt import RouteLatency
+from crocusbay_gateway.coordination.forward import ForwardHandler
 from crocusbay_gateway.coordination.gather import ScatterGatherHandler
 from crocusbay_gateway.coordination.partial import PartialAnswerPolicy
-from crocusbay_gateway.coordination.server_statements import RETENTION_SECONDS
+from crocusbay_gateway.coordination.refusal import JITTER_RATIO
+from crocusbay_gateway.coordination.server_statements import (
+    REST_JITTER,
+    RETENTION_SECONDS,
+)
 from crocusbay_gateway.coordination.stated_limit import (
+    MAX_REST_SECONDS,
     MAX_RETRY_AFTER_SECONDS,
     ServerLimit,
     StatedLimit,
 )
 from crocusbay_gateway.coordination.tests.simulation import (
+    HTTP_CONVENTIONS,
     SimulatedGateway,
     make_request,
     make_route,
     run_to_completion,
 )
 from crocusbay_gateway.protocol import ServerReport
-from crocusbay_gateway.state import ServerEntry, ServerStatement, ToShards
+from crocusbay_gateway.state import (
+    RouteKind,
+    ServerEntry,
+    ServerStatement,
+    ToService,
+    ToShards,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -223,6 +236,86 @@
     assert (registry.find_server("s", "s-1") is not None) == is_usable
 
 
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([b"3"], 3.0),
+        ([b"0.25"], 0.25),
+        ([b"0"], 0.0),
+        ([b"3", b"1"], 3.0),
+        ([b"1", b"3"], 3.0),
+        ([b"1e12"], MAX_REST_SECONDS),
+        # What is not a time in seconds is logged and changes nothing.
+        ([b"Fri, 31 Dec 1999 23:59:59 GMT"], 0.0),
+        ([b"3", b"soon", b"-1", b"nan", b"inf"], 3.0),
+    ],
+)
+def test_longest_rest_counts(values, expected):
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    for value in values:
+        record_statement(gateway, rest=value)
+    rest = gateway.registry.find_server("s", "s-1").rest_time(gateway.timers.now())
+    assert expected <= rest <= expected * (1 + REST_JITTER)
+    ignored = [value for value in values if value.isalpha() or value[:1] in b"-F"]
+    assert len(logged_events(gateway, "server-rest-ignored")) == len(ignored)
+
+
+@pytest.mark.parametrize("kind", list(RouteKind))
+async def test_request_rejected_with_a_rest_is_retried_on_another_server(kind):
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    rejection = {
+        "status": 503,
+        "headers": ((HTTP_CONVENTIONS.not_run, b"1"),),
+        "statement": ServerStatement(rest=b"3"),
+    }
+    gateway.set_script("s-1", **rejection)
+    for _ in range(5):
+        reply = await forward(gateway, make_route(ToService("s"), kind=kind))
+        assert reply.status == 200
+    assert gateway.received_counts()["s-1"] <= 1
+    await gateway.timers.advance(3.0 * (1 + REST_JITTER))
+    assert gateway.registry.send_delay("s", is_urgent=True) == 0.0
+
+
+async def test_request_is_refused_with_the_time_of_the_first_server_to_return():
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    for name, rest in [("s-1", b"3"), ("s-2", b"1")]:
+        server = gateway.registry.find_server("s", name)
+        gateway.registry.on_statement(server, ServerStatement(rest=rest))
+    reply = await forward(gateway, make_route(ToService("s")), deadline=30.0)
+    assert reply.status == 503
+    assert 1.0 <= reply.retry_after <= (1 + REST_JITTER) * (1 + JITTER_RATIO)
+    assert not any(gateway.received_counts().values())
+
+
+@pytest.mark.parametrize(("started_at", "is_resting"), [(0, True), (5, False)])
+def test_rest_outlasts_the_removal_of_the_entry(started_at, is_resting):
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    registry = gateway.registry
+    record_statement(gateway, rest=b"3")
+    entry = registry.find_server("s", "s-1").entry
+    registry.apply_entries([ServerEntry("s-1", 2, is_removed=True)])
+    returned = msgspec.structs.replace(entry, revision=3, started_at=started_at)
+    registry.apply_entries([returned])
+    rest = registry.find_server("s", "s-1").rest_time(gateway.timers.now())
+    assert bool(rest) == is_resting
+
+
+async def forward(gateway, route, deadline=1.0):
+    """Return the reply to a request, which must come at once."""
+    handler = ForwardHandler(
+        gateway.context,
+        make_request(gateway, deadline=deadline),
+        route,
+        "s",
+        RouteLatency(route.latency_goal),
+        gateway.timers.now() + deadline,
+    )
+    reply, elapsed = await run_to_completion(gateway, handler)
+    assert elapsed < route.latency_goal
+    return reply
+
+
 def test_refused_callers_return_one_after_the_other():
     limit = ServerLimit(StatedLimit(10.0, 0.0), 0.5, 0.0)
     for _ in range(3):
--- a/packages/gateway/crocusbay_gateway/protocol/relay.py
+++ b/packages/gateway/crocusbay_gateway/protocol/relay.py
@@ -59,7 +59,8 @@
 class RelayedFailure(msgspec.Struct, frozen=True, array_like=True):
     """Report a failed sub-request; `is_sent` is whether it was sent to the server.
 
-    `sub_request_index` is the index of the sub-request in its query.
+    `sub_request_index` is the index of the sub-request in its query, `rest_time` for
+    how long the relay may not send to the server (seconds).
     """
 
     sub_request_index: int
@@ -67,6 +68,7 @@
     may_have_run: bool
     cause: Cause
     detail: str = ""
+    rest_time: float = 0.0
 
 
 class RelayResponse(msgspec.Struct, frozen=True, array_like=True):
