--- a/packages/standins/crocusbay_standins/tests/test_search.py
+++ b/packages/standins/crocusbay_standins/tests/test_search.py
@@ -318,7 +318,9 @@
         pools = [servers[name].pool for name in stopped]
         await wait_until(lambda: not any(pool.open_connections for pool in pools))
         for _ in range(10):
-            assert (await cluster.search()).response.coverage.is_complete
+            result = await cluster.search()
+            assert isinstance(result, Ran), result
+            assert result.response.coverage.is_complete
 
 
 async def test_silent_connections_of_some_services_do_not_reduce_coverage():
