Apply removals at once while entries that go back are delayed

For 5.1 s after a restore of the store, a removal that another host handed on without the start of the process counted as going back to an earlier process and was kept waiting, so that a server which had left could get requests from hosts that don't poll. The host that polls was not concerned. Found on reading the diff; the new case failed before.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -262,3 +262,14 @@
     view.replace_all([], 90, 101.0)
     assert view.by_name["x"].is_usable
     assert view.confirmed_at == 100.0
+
+
+@pytest.mark.parametrize("started_at", [0, 20])
+def test_removal_in_a_new_era_reaches_other_hosts_at_once(started_at):
+    """Hosts of the previous version send removals without the process's start."""
+    view = ServersView(LEASE_SECONDS)
+    view.update([entry(started_at=20)], 9, RESTORED_AT - 1.0)
+    view.confirm(9, restored(10), RESTORED_AT)
+    removal = ServerEntry("x", restored(11), is_removed=True, started_at=started_at)
+    view.merge([removal], (removal.revision, 0), restored(11), RESTORED_AT + 3.0)
+    assert view.by_name["x"].is_removed
--- a/packages/gateway/crocusbay_gateway/state/server.py
+++ b/packages/gateway/crocusbay_gateway/state/server.py
@@ -37,7 +37,12 @@
         return self._effective_fields() != other._effective_fields()
 
     def goes_back_from(self, known: "ServerEntry") -> bool:
-        """Return whether this entry tells of an earlier process, or of its past."""
+        """Return whether this entry tells of an earlier process, or of its past.
+
+        Removals don't: they may not name the process that was removed.
+        """
+        if self.is_removed:
+            return False
         if known.started_at and self.started_at != known.started_at:
             return self.started_at < known.started_at
         return self._stage < known._stage
