Hand on a configuration that is written again under its version

Since configurations are ordered by version, a host with the same version at an older revision no longer fetched the newer content, as it did before. The order between hosts is version, then revision; the new case failed before.

--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -182,10 +182,10 @@
     def _is_configuration_behind(self, status: HostStatus) -> bool:
         if not status.knows_eras:
             return status.configuration_revision > self._configuration.revision
-        version = self._configuration.version
-        return status.configuration_version is not None and (
-            version is None or status.configuration_version > version
-        )
+        if status.configuration_version is None:
+            return False
+        order = status.configuration_version, status.configuration_revision
+        return order > self._configuration.order
 
     async def _fetch_view(self, status: HostStatus) -> None:
         query = ViewQuery(
@@ -219,10 +219,11 @@
 
     def _answer_view_query(self, query: ViewQuery) -> ViewResponse:
         now = self._timers.now()
-        if query.configuration_version is None or self._configuration.version is None:
+        if query.configuration_version is None:
             is_newer = self._configuration.revision > query.configuration_revision
         else:
-            is_newer = self._configuration.version > query.configuration_version
+            order = query.configuration_version, query.configuration_revision
+            is_newer = self._configuration.order > order
         return ViewResponse(
             self._configuration.revision,
             self._configuration.age(now),
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -29,12 +29,14 @@
     Configuration,
     HostStatus,
     ServerEntry,
+    Service,
     make_revision,
 )
 
 pytestmark = pytest.mark.anyio
 
 TIMEOUT_SECONDS = 10.0
+SERVICES = (Service("s", 5),)
 
 
 class Host:
@@ -194,6 +196,19 @@
         assert first.configuration.version == 11
 
 
+async def test_same_version_written_again_reaches_other_hosts():
+    async with open_hosts("host-1", "host-2") as (first, second):
+        now = first.timers.now()
+        first.configuration.update(8, Configuration(11, services=SERVICES), now)
+        second.configuration.update(7, Configuration(11), now)
+        first.add_contact(second)
+        await wait_until(
+            lambda: second.configuration.configuration.services == SERVICES,
+            first.peering.send_heartbeat,
+        )
+        assert second.configuration.revision == 8
+
+
 async def test_contacts_are_forwarded_between_two_other_hosts():
     names = ("host-1", "host-2", "host-3")
     async with open_hosts(*names) as (first, second, third):
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -46,6 +46,11 @@
         """Return the version of the configuration, if there is one."""
         return None if self.configuration is None else self.configuration.version
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return a value that is higher in views with a newer configuration."""
+        return (-1 if self.version is None else self.version), self.revision
+
     def subscribe(self, on_change: Callable[[Configuration], None]) -> None:
         """Register a callback for each newer configuration."""
         self._subscribers.append(on_change)
