--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -18,6 +18,8 @@
 # Smaller responses are not worth the accounting.
 MIN_BUDGETED_BYTES = 64 * 1024
 
+_REST_HEADER = b"retry-after"
+_NO_STATEMENT = ServerStatement()
 # Rejections, in which `Retry-After` concerns the server rather than one resource.
 _REJECTION_STATUSES = frozenset({429, 503})
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
@@ -126,6 +128,9 @@
         self._signature_header = conventions.signature.lower()
         self._limit_header = conventions.stated_limit.lower()
         self._leaving_header = conventions.leaving.lower()
+        self._statement_headers = frozenset(
+            {self._limit_header, self._leaving_header, _REST_HEADER}
+        )
         self._wrong_server_status = conventions.wrong_server_status
         self._on_statement = on_statement
         self._on_idle = on_idle
@@ -222,6 +227,8 @@
         self._has_headers = True
         self._status = self._parser.get_status_code()
         self._must_close = not self._parser.should_keep_alive()
+        attempt_ids: list[bytes] = []
+        stated: dict[bytes, bytes] = {}
         for name, value in self._headers:
             lower = name.lower()
             if lower in _FRAMING_HEADERS:
@@ -230,10 +237,13 @@
                 self._signature = value
             elif lower == b"keep-alive":
                 self._parse_keep_alive(value)
-        self._report_statement()
-        for name, value in self._headers:
-            if name.lower() == self._attempt_header:
-                self._check_attempt(value)
+            elif lower in self._statement_headers:
+                stated[lower] = value
+            elif lower == self._attempt_header:
+                attempt_ids.append(value)
+        self._report_statement(stated)
+        for attempt_id in attempt_ids:
+            self._check_attempt(attempt_id)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk of the body (called by the parser)."""
@@ -287,20 +297,22 @@
                 f"response to attempt {value!r}, expected {expected!r}"
             )
 
-    def _report_statement(self) -> None:
+    def _report_statement(self, stated: dict[bytes, bytes]) -> None:
         """Report what the server states, whatever becomes of its response.
 
         A response to a request for another server says nothing of that one.
         """
         if self._status < 200 or self._status == self._wrong_server_status:
             return
-        by_name = {name.lower(): value for name, value in self._headers}
+        if not stated:
+            self._on_statement(_NO_STATEMENT)
+            return
         is_rejection = self._status in _REJECTION_STATUSES
         self._on_statement(
             ServerStatement(
-                by_name.get(self._limit_header, b""),
-                by_name.get(b"retry-after", b"") if is_rejection else b"",
-                by_name.get(self._leaving_header, b"") == b"1",
+                stated.get(self._limit_header, b""),
+                stated.get(_REST_HEADER, b"") if is_rejection else b"",
+                stated.get(self._leaving_header) == b"1",
             )
         )
 
