--- a/packages/gateway/crocusbay_gateway/coordination/server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/server_statements.py
@@ -18,11 +18,11 @@
 from crocusbay_gateway.protocol import ServerReport
 from crocusbay_gateway.state import ServerStatement
 
-# Sources of a limit, in logs.
+# Sources of a statement, in logs.
 SOURCE_OWN = "own"
 SOURCE_PEER = "peer"
 # Reports in one heartbeat, limited so that it fits into a datagram.
-MAX_SHARED_LIMITS = 8
+MAX_SHARED_REPORTS = 8
 # Reported for a server that has stated none; older than any statement.
 NO_LIMIT = StatedLimit(None, -1e9)
 # The end of a limit is reported for this time, after which every host has heard of it.
@@ -173,7 +173,7 @@
         """Return the next reports for a heartbeat, each server in its turn."""
         now = self._timers.now()
         reports = []
-        for name in list(self._servers)[:MAX_SHARED_LIMITS]:
+        for name in list(self._servers)[:MAX_SHARED_REPORTS]:
             self._servers.move_to_end(name)
             server = self._servers[name]
             stated = server.limit.stated if server.limit else NO_LIMIT
