Give a soak's host different ports

Seen once: a whole run in which no request of test_requests_beyond_the_limits_of_all_copies was refused, nor any other outcome recorded. Cause: the five ports of a host were drawn one after the other, and the system may offer a port twice (2 of 3,000 draws of five; a whole run makes some 150). The host then can't listen, and callers reach none. Forcing any such pair gives the same assertion (set() == {503}) each time. Ruled out: hash seeds (20 on each of two builds) and load on the machine (12 runs beside each other).

The new test failed before.

--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -40,6 +40,16 @@
             return port
 
 
+def find_free_ports(ips: list[str], count: int) -> list[int]:
+    """Return different ports, each of them free on every address."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = find_free_port(ips)
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 def _is_free(ip: str, port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(type=kind) as probe:
@@ -150,8 +160,8 @@
 ) -> list[SoakHost]:
     """Return hosts that all use the same port numbers, as on the platform."""
     ips = [f"127.77.{third_octet}.{number + 1}" for number in range(count)]
-    caller_port, readiness_port, entry_port, peer_port, metrics_port = (
-        find_free_port(ips) for _ in range(5)
+    caller_port, readiness_port, entry_port, peer_port, metrics_port = find_free_ports(
+        ips, 5
     )
     return [
         host_type(
--- a/packages/standins/crocusbay_standins/soak/tests/test_hosts.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_hosts.py
@@ -1,5 +1,6 @@
 import time
 
+from crocusbay_standins.soak import hosts as hosts_module
 from crocusbay_standins.soak.hosts import ProcessHost, make_hosts
 
 START_TIMEOUT_SECONDS = 20.0
@@ -38,6 +39,22 @@
             host.kill()
 
 
+def test_ports_of_a_host_differ_if_the_system_offers_one_again(tmp_path, monkeypatch):
+    offered = iter([5000, 5000, 5001, 5001, 5002, 5000, 5003, 5004])
+    monkeypatch.setattr(hosts_module, "find_free_port", lambda ips: next(offered))
+    (host,) = make_hosts(
+        ProcessHost, 1, ["a"], tmp_path, [_UnusedProxy()], third_octet=251
+    )
+    settings = host.settings
+    addresses = {
+        settings.caller_address,
+        settings.readiness_address,
+        settings.entry_address,
+    }
+    ports = {int(address.rpartition(":")[2]) for address in addresses}
+    assert len(ports | {settings.peer_port, settings.metrics_port}) == 5
+
+
 def _wait_until_started(host):
     """Wait until a host has opened its last port, or has ended."""
     log = host.folder / f"{host.name}.log"
