--- a/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
@@ -86,6 +86,23 @@
     loop.run_until_complete(main())
 
 
+def test_hosts_may_start_in_a_later_era(loop, tmp_path):
+    async def main():
+        deployment = Deployment(tmp_path, HOSTS)
+        deployment.store.era = 7
+        await deployment.start()
+        calls = deployment.store.request_count
+        await change_configuration(deployment, 3)
+        await asyncio.sleep(BOUNDS.configuration_apply_time)
+        assert versions(deployment) == [4] * HOSTS
+        # One host polls two views.
+        seconds = BOUNDS.configuration_apply_time + 1.0
+        assert deployment.store.request_count - calls <= 2 * seconds / 0.5
+        assert all(host.gateway.store_era.current == 7 for host in deployment.hosts)
+
+    loop.run_until_complete(main())
+
+
 @pytest.mark.parametrize("rewrite_after_seconds", [0.0, 1.0, 3.0])
 def test_configuration_in_force_does_not_go_back_with_the_store(
     loop, tmp_path, rewrite_after_seconds
