Name the sources of knowledge in one module, and a rest beside what states it

Three modules named the same sources; the parser of rests stood with the limits. Comments of gathers and forwards speak of rests too. No behaviour changes.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -10,17 +10,13 @@
     request_fingerprint,
 )
 from crocusbay_gateway.coordination.registry import Server
+from crocusbay_gateway.coordination.sources import SOURCE_OWN
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import CrashReport
 from crocusbay_gateway.state import CallerRequest, ServerEntry
 from crocusbay_gateway.transport import Listening
 
-# Sources of a crash report, in logs and metrics.
-SOURCE_OWN = "own"
-SOURCE_PEER = "peer"
-SOURCE_STORE = "store"
-
 
 class CrashMonitor:
     """Update the quarantine, and log each change with its source."""
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -86,7 +86,7 @@
         self._call_at(now + self._latency.hedge_delay, self._handle_late_attempt)
 
     def _wait_for_limit(self) -> None:
-        """Wait if the servers' limits soon allow the request, else refuse it."""
+        """Wait if a server may soon get the request, else refuse it."""
         delay = self._context.registry.send_delay(
             self._service, is_urgent=self._route.is_urgent
         )
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -108,13 +108,13 @@
         self._apply_policy()
 
     def _send_delay(self, sub_request: SubRequestState) -> float:
-        """Return the time until the limits of a shard's servers allow the request."""
+        """Return the time until a server of a shard may get the request."""
         return self._context.registry.send_delay(
             sub_request.service, is_urgent=self._route.is_urgent
         )
 
     def _is_within_limits(self) -> bool:
-        """Return whether the servers' limits leave enough shards for a reply."""
+        """Return whether limits and rests leave enough shards for a reply."""
         allowed = sum(self._send_delay(each) == 0.0 for each in self.sub_requests)
         return allowed >= min(self._policy.min_parts, len(self.sub_requests))
 
@@ -128,7 +128,7 @@
         self._finish(Decision.FAIL)
 
     def _handle_unusable_shard(self, sub_request: SubRequestState) -> None:
-        """Wait for the limits of a shard's servers, or leave the shard out."""
+        """Wait until a server of a shard may get the request, or leave it out."""
         if self._crashes.is_quarantined():
             sub_request.failure = NotRun(Cause.QUARANTINED)
             self._fail(sub_request)
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -7,11 +7,11 @@
 
 from crocusbay.state import split_address
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.server_statements import ServerStatements
+from crocusbay_gateway.coordination.sources import SOURCE_PEER
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
-from crocusbay_gateway.coordination.store_era import SOURCE_PEER as ERA_FROM_PEER
 from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
@@ -158,7 +158,7 @@
         Hosts that don't notice a restore of the store confirm nothing.
         """
         if status.store_era:
-            self._store_era.observe(status.store_era, ERA_FROM_PEER)
+            self._store_era.observe(status.store_era, SOURCE_PEER)
         is_behind = self._is_configuration_behind(status)
         if status.knows_eras and not is_behind:
             self._configuration.update(
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 
 from crocusbay.transport.timers import TimerService
-from crocusbay_gateway.coordination.crash_monitor import SOURCE_STORE, CrashMonitor
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
+from crocusbay_gateway.coordination.sources import SOURCE_STORE
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.log import EventLog
 
--- a/packages/gateway/crocusbay_gateway/coordination/server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/server_statements.py
@@ -1,26 +1,23 @@
 """What servers state of themselves in their responses, as known to this host."""
 
+import math
 import random
 from collections import OrderedDict
 
 from crocusbay.state import Cause
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.registry import Registry, Server
+from crocusbay_gateway.coordination.sources import SOURCE_OWN, SOURCE_PEER
 from crocusbay_gateway.coordination.stated_limit import (
-    MAX_REST_SECONDS,
     ServerLimit,
     StatedLimit,
     parse_limit,
-    parse_rest,
 )
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import ServerReport
 from crocusbay_gateway.state import ServerStatement
 
-# Sources of a statement, in logs.
-SOURCE_OWN = "own"
-SOURCE_PEER = "peer"
 # Reports in one heartbeat, limited so that it fits into a datagram.
 MAX_SHARED_REPORTS = 8
 # Reported for a server that has stated none; older than any statement.
@@ -29,11 +26,25 @@
 END_SHARING_SECONDS = 3.0
 # A limit that no response has confirmed for this time no longer counts.
 RETENTION_SECONDS = 30.0
+# A server that asks for a longer rest is tried again after this time.
+MAX_REST_SECONDS = 300.0
 # Share of a rest by which hosts return at different times, and its maximum.
 REST_JITTER = 0.1
 MAX_REST_JITTER_SECONDS = 0.5
 
 
+def parse_rest(value: bytes) -> float:
+    """Return the rest in a header (seconds); raise ValueError if it is not a number.
+
+    >>> parse_rest(b"2.5")
+    2.5
+    """
+    seconds = float(value)
+    if not math.isfinite(seconds) or seconds < 0:
+        raise ValueError(f"rest {value!r} is not a time")
+    return min(seconds, MAX_REST_SECONDS)
+
+
 class ServerStatements:
     """Learn from responses and other hosts what servers state, and act by it."""
 
--- a/packages/gateway/crocusbay_gateway/coordination/stated_limit.py
+++ b/packages/gateway/crocusbay_gateway/coordination/stated_limit.py
@@ -17,8 +17,6 @@
 BURST_SECONDS = 1.5
 # Callers that return after this time compete with new ones all the same.
 MAX_RETRY_AFTER_SECONDS = 2.0
-# A server that asks for a longer rest is tried again after this time.
-MAX_REST_SECONDS = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,18 +47,6 @@
     return rate
 
 
-def parse_rest(value: bytes) -> float:
-    """Return the rest in a header (seconds); raise ValueError if it is not a number.
-
-    >>> parse_rest(b"2.5")
-    2.5
-    """
-    seconds = float(value)
-    if not math.isfinite(seconds) or seconds < 0:
-        raise ValueError(f"rest {value!r} is not a time")
-    return min(seconds, MAX_REST_SECONDS)
-
-
 class ServerLimit:
     """Pace the sends of this host to one server; times are in seconds.
 
--- a/packages/gateway/crocusbay_gateway/coordination/store_era.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_era.py
@@ -5,10 +5,6 @@
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
 
-# Sources of an era, in logs.
-SOURCE_STORE = "store"
-SOURCE_PEER = "peer"
-
 
 class StoreEra:
     """Track the highest era that the store or other hosts have reported.
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
@@ -1,6 +1,6 @@
 import pytest
 
-from crocusbay_gateway.coordination.crash_monitor import SOURCE_PEER, CrashMonitor
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.quarantine import (
     CRASH_RETENTION_SECONDS,
     CRASH_SHARING_SECONDS,
@@ -8,6 +8,7 @@
     Crash,
     Quarantine,
 )
+from crocusbay_gateway.coordination.sources import SOURCE_PEER
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
 
 NOW = 10.0
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -1,6 +1,6 @@
 import pytest
 
-from crocusbay_gateway.coordination.crash_monitor import SOURCE_OWN, CrashMonitor
+from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.quarantine import (
     CRASH_RETENTION_SECONDS,
@@ -12,6 +12,7 @@
     READERS,
     QuarantineStore,
 )
+from crocusbay_gateway.coordination.sources import SOURCE_OWN
 from crocusbay_gateway.coordination.store import StoreUnavailableError
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
 from crocusbay_gateway.state import HostStatus
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_server_statements.py
@@ -9,11 +9,11 @@
 from crocusbay_gateway.coordination.partial import PartialAnswerPolicy
 from crocusbay_gateway.coordination.refusal import JITTER_RATIO
 from crocusbay_gateway.coordination.server_statements import (
+    MAX_REST_SECONDS,
     REST_JITTER,
     RETENTION_SECONDS,
 )
 from crocusbay_gateway.coordination.stated_limit import (
-    MAX_REST_SECONDS,
     MAX_RETRY_AFTER_SECONDS,
     ServerLimit,
     StatedLimit,
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -95,7 +95,7 @@
         self.revision = 0
         self.seen_revision = 0
         self.confirmed_at = float("-inf")
-        # Delayed removals that were applied since the newest change.
+        # Times that delayed changes were applied since the newest change.
         self._late_removals = 0
         self._removed_at_by_name: dict[str, float] = {}
         self._delayed_removals: dict[str, float] = {}
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -26,8 +26,9 @@
 from crocusbay_gateway.coordination.server_prober import ServerProber
 from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.coordination.service import RequestService
+from crocusbay_gateway.coordination.sources import SOURCE_STORE
 from crocusbay_gateway.coordination.store import Store
-from crocusbay_gateway.coordination.store_era import SOURCE_STORE, StoreEra
+from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.store_watcher import StoreWatcher
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
