--- a/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_restored_store.py
@@ -79,7 +79,6 @@
         assert lost == 1 + lost_changes
         await restore(deployment, lost_changes * 0.3 + 0.1, outage_seconds)
         await change_configuration(deployment, writes, first=lost + 1, pause=0.0)
-        # The last of the changes is the first that is followed by no other one.
         await asyncio.sleep(BOUNDS.configuration_apply_time)
         assert versions(deployment) == [lost + writes] * HOSTS
 
@@ -263,8 +262,8 @@
     loop.run_until_complete(main())
 
 
-@pytest.mark.parametrize("drills", [1, 2])
-def test_hosts_do_not_list_a_restored_store_again_and_again(loop, tmp_path, drills):
+@pytest.mark.parametrize("restores", [1, 2])
+def test_hosts_do_not_list_a_restored_store_again_and_again(loop, tmp_path, restores):
     async def main():
         deployment = Deployment(tmp_path, HOSTS)
         await deployment.start()
@@ -273,12 +272,12 @@
         calls = store.request_count
         await asyncio.sleep(CALM_SECONDS)
         calm_calls = store.request_count - calls
-        for _ in range(drills):
+        for _ in range(restores):
             calls = store.request_count
             await restore(deployment, CALM_SECONDS + 1.0)
             await asyncio.sleep(CALM_SECONDS)
-            drill_calls = store.request_count - calls
-            assert drill_calls <= calm_calls + HOSTS * RESTORE_CALLS_PER_HOST
+            restore_calls = store.request_count - calls
+            assert restore_calls <= calm_calls + HOSTS * RESTORE_CALLS_PER_HOST
         calls = store.request_count
         await asyncio.sleep(CALM_SECONDS)
         assert store.request_count - calls <= calm_calls + HOSTS
