--- a/packages/standins/crocusbay_standins/emulator/tests/deployment.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/deployment.py
@@ -6,7 +6,12 @@
 from crocusbay_gateway.state import Configuration
 from crocusbay_standins.emulator.hosts import EmulatedHost
 from crocusbay_standins.soak.callers import Caller, RequestKind
-from crocusbay_standins.soak.deployment import PATHS, make_routes, make_services
+from crocusbay_standins.soak.deployment import (
+    PATHS,
+    SHARDS,
+    make_routes,
+    make_services,
+)
 from crocusbay_standins.soak.hosts import make_hosts
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.servers import StandInServer
@@ -20,16 +25,24 @@
 class Deployment:
     """Emulated hosts and servers, and what callers and servers have observed.
 
-    Hosts take the data centres in turn, the servers of each service the first two.
+    Hosts take the data centres in turn, and so do the servers of each service.
     """
 
     def __init__(
-        self, folder, hosts=3, data_centres=("a", "b"), is_renamed_on_restart=True
+        self,
+        folder,
+        hosts=3,
+        data_centres=("a", "b"),
+        is_renamed_on_restart=True,
+        shards=SHARDS,
+        servers_per_service=SERVERS_PER_SERVICE,
     ):
         self.folder = folder
         self.host_count = hosts
         self.data_centres = list(data_centres)
         self.is_renamed_on_restart = is_renamed_on_restart
+        self.shards = shards
+        self.servers_per_service = servers_per_service
         self.store = StandInStore(random.Random(1))
         self.outcomes = []
         self.received_requests = []
@@ -37,19 +50,24 @@
 
     async def start(self):
         address = await self.store.start()
-        self.store.put_configuration(Configuration(1, make_routes(0), make_services()))
+        services = make_services(self.shards)
+        self.store.put_configuration(
+            Configuration(1, make_routes(0, self.shards), services)
+        )
         self.servers = [
             StandInServer(
                 f"{service.name}/{number}",
                 service.name,
-                self.data_centres[number],
+                self.data_centres[(index + number) % len(self.data_centres)]
+                if self.servers_per_service > SERVERS_PER_SERVICE
+                else self.data_centres[number],
                 self.store,
                 self.received_requests,
                 random.Random(f"{service.name} {number}"),
                 is_renamed_on_restart=self.is_renamed_on_restart,
             )
-            for service in make_services()
-            for number in range(SERVERS_PER_SERVICE)
+            for index, service in enumerate(services)
+            for number in range(self.servers_per_service)
         ]
         for server in self.servers:
             await server.start()
--- a/packages/standins/crocusbay_standins/soak/deployment.py
+++ b/packages/standins/crocusbay_standins/soak/deployment.py
@@ -15,19 +15,19 @@
 TIMEOUT_SECONDS = 1.8
 
 
-def make_services() -> tuple[Service, ...]:
+def make_services(shards: int = SHARDS) -> tuple[Service, ...]:
     """Return the services: the shards, one for fetches and one for orders."""
-    names = [f"shard{number}" for number in range(SHARDS)]
+    names = [f"shard{number}" for number in range(shards)]
     return tuple(Service(name, 25) for name in (*names, "single", "orders"))
 
 
-def make_routes(change: int) -> tuple[Route, ...]:
+def make_routes(change: int, shards: int = SHARDS) -> tuple[Route, ...]:
     """Return the routes after a number of changes; each replaces the versioned one."""
-    shards = tuple(f"shard{number}" for number in range(SHARDS))
+    names = tuple(f"shard{number}" for number in range(shards))
     targets = {
         PATHS[RequestKind.GATHER]: (
             RouteKind.IDEMPOTENT,
-            ToShards(shards, TOP_RECORDS, 0.6),
+            ToShards(names, TOP_RECORDS, 0.6),
         ),
         PATHS[RequestKind.FETCH]: (RouteKind.IDEMPOTENT, ToService("single")),
         PATHS[RequestKind.ORDER]: (RouteKind.NON_IDEMPOTENT, ToService("orders")),
