Log suspected crashes and what was found out about them

An attempt that failed by reset or silence and counted for nothing left no line, so that a crash that was not recognized could not be told from a lost response. `crash-suspected` names the server's start, the sign and the finding. No logic is changed.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -69,6 +69,26 @@
             if fingerprint in self._observed:
                 self._unsaved.add(fingerprint)
 
+    def log_suspicion(
+        self,
+        fingerprint: str,
+        entry: ServerEntry,
+        request_id: str,
+        sign: str,
+        finding: str,
+    ) -> None:
+        """Log that a server may have crashed, and what this host found out about it."""
+        self._log.info(
+            "crash-suspected",
+            request=request_id,
+            fingerprint=fingerprint,
+            service=entry.service,
+            server=entry.name,
+            server_started_at=entry.started_at,
+            sign=sign,
+            finding=finding,
+        )
+
     def record_reports(self, reports: tuple[CrashReport, ...], source: str) -> None:
         """Record the crashes that another host reported or that the store holds."""
         now = self.now()
@@ -145,10 +165,12 @@
         A connection may also be reset while the server runs on.
         """
         if not server.is_in_use:
+            self._log_suspicion(server, "reset", "not in use")
             return
         crash = self._make_crash(server.entry)
 
         def handle_check(listening: Listening) -> None:
+            self._log_suspicion(server, "reset", listening)
             if listening is Listening.REFUSED:
                 self._record_crash(crash)
             elif listening is Listening.UNKNOWN:
@@ -161,9 +183,12 @@
 
         The link to the server may also be interrupted.
         """
-        if server.is_in_use:
-            crash = self._make_crash(server.entry)
-            server.on_end(lambda: self._record_crash(crash), self._monitor.now())
+        if not server.is_in_use:
+            self._log_suspicion(server, "silence", "not in use")
+            return
+        self._log_suspicion(server, "silence", "in use")
+        crash = self._make_crash(server.entry)
+        server.on_end(lambda: self._record_crash(crash), self._monitor.now())
 
     def record_response(self, service: str) -> None:
         """Record that a server of the service ran the request to its end."""
@@ -176,6 +201,11 @@
         for crash in self._crashes:
             self._record(crash)
 
+    def _log_suspicion(self, server: Server, sign: str, finding: str) -> None:
+        self._monitor.log_suspicion(
+            self.fingerprint, server.entry, self._request_id, sign, finding
+        )
+
     def _make_crash(self, entry: ServerEntry) -> Crash:
         return Crash(entry.service, entry.name, entry.started_at, self._monitor.now())
 
