--- /dev/null
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
@@ -0,0 +1,204 @@
+"""A crash counts against a request, however and whenever its signs come."""
+
+import asyncio
+import random
+
+import pytest
+
+from crocusbay_gateway.coordination.quarantine import CRASHES_TO_QUARANTINE
+from crocusbay_standins.emulator.tests.deployment import STABLE_SECONDS, Deployment
+from crocusbay_standins.emulator.tests.test_crashing_request import MAX_LATE_RETRIES
+from crocusbay_standins.soak.callers import RequestKind
+from crocusbay_standins.soak.servers import CrashMode
+from crocusbay_standins.soak.store import Outage
+
+GATHER = "/all/crash"
+FETCH = "/one/crash"
+ORDER = "/order/crash"
+COPIES = 16
+COPY_INTERVAL_SECONDS = 1.5
+# A host that sent a copy is killed so long after its reply.
+KILL_DELAY_SECONDS = 0.03
+
+
+class CrashingDeployment(Deployment):
+    """Deployment in which copies of one request are sent to random hosts."""
+
+    def __init__(self, folder, target, crash_mode=CrashMode.RESET, lease=0.0, **size):
+        super().__init__(folder, **size)
+        self.target = target
+        self._crash_mode = crash_mode
+        self._lease = lease
+        self._rng = random.Random(3)
+
+    async def start(self):
+        await super().start()
+        for server in self.servers:
+            server.crash_mode = self._crash_mode
+            server.entry_lease_seconds = self._lease
+
+    async def send_copies(self, copies=COPIES, after_copy=None):
+        """Send copies without waiting for the replies to earlier ones."""
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(copies):
+                host = self._rng.choice([h for h in self.hosts if h.is_running])
+                tasks.create_task(self._send_copy(host, after_copy))
+                await asyncio.sleep(COPY_INTERVAL_SECONDS)
+
+    async def _send_copy(self, host, after_copy):
+        is_order = self.target == ORDER
+        kind = RequestKind.ORDER if is_order else RequestKind.CRASHING
+        caller = self.make_caller()
+        outcome = await caller.send_request(
+            host.settings.caller_address, kind, self.target
+        )
+        caller.close()
+        if after_copy is not None and outcome is not None and outcome.status != 503:
+            await after_copy(self, host)
+
+    def late_retries(self):
+        """Return how often servers ran a copy after none should reach them."""
+        attempt_ids = {o.attempt_id for o in self.outcomes if o.path == self.target}
+        runs = [
+            each
+            for each in self.received_requests
+            if each.attempt_id in attempt_ids and each.has_run
+        ]
+        crashed_service = self.target.partition("@")[2]
+        crashed_at = sorted(
+            run.received_at for run in runs if crashed_service in ("", run.service)
+        )
+        assert len(crashed_at) >= CRASHES_TO_QUARANTINE, "too few crashes"
+        stable_at = crashed_at[CRASHES_TO_QUARANTINE - 1] + STABLE_SECONDS
+        return sum(run.received_at > stable_at for run in runs)
+
+    def runs_by_attempt(self):
+        """Return how often each copy ran, by attempt."""
+        runs = {}
+        for each in self.received_requests:
+            if each.has_run:
+                runs[each.attempt_id] = runs.get(each.attempt_id, 0) + 1
+        return runs
+
+
+async def kill_and_restart(deployment, host):
+    await asyncio.sleep(KILL_DELAY_SECONDS)
+    host.kill()
+    await asyncio.sleep(1.0)
+    host.start()
+
+
+@pytest.mark.parametrize("is_renamed_on_restart", [True, False], ids=["new", "same"])
+@pytest.mark.parametrize(
+    ("crash_mode", "lease"),
+    [
+        (CrashMode.RESET, 3.6),
+        # The entry ends before and after the deadline of the request.
+        (CrashMode.SILENT, 0.5),
+        (CrashMode.SILENT, 3.6),
+        (CrashMode.ACCEPTING, 0.5),
+        (CrashMode.ACCEPTING, 3.6),
+    ],
+)
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER, f"{GATHER}@shard1"])
+def test_crash_counts_however_the_connection_ends(
+    loop, tmp_path, target, crash_mode, lease, is_renamed_on_restart
+):
+    async def main():
+        deployment = CrashingDeployment(
+            tmp_path,
+            target,
+            crash_mode,
+            lease,
+            is_renamed_on_restart=is_renamed_on_restart,
+        )
+        await deployment.start()
+        await deployment.send_copies()
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+        if target == ORDER:
+            assert max(deployment.runs_by_attempt().values()) == 1
+
+    loop.run_until_complete(main())
+
+
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
+def test_crash_counts_if_the_host_that_saw_it_is_killed(loop, tmp_path, target):
+    async def main():
+        deployment = CrashingDeployment(tmp_path, target, hosts=6)
+        await deployment.start()
+        await deployment.send_copies(after_copy=kill_and_restart)
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
+@pytest.mark.parametrize("crash_mode", [CrashMode.SILENT, CrashMode.ACCEPTING])
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
+def test_crash_counts_if_the_entry_ends_during_a_store_outage(
+    loop, tmp_path, target, crash_mode
+):
+    async def main():
+        deployment = CrashingDeployment(tmp_path, target, crash_mode, 3.6, hosts=6)
+        await deployment.start()
+
+        async def fail_store():
+            deployment.store.outage = Outage.UNAVAILABLE
+            await asyncio.sleep(10.0)
+            deployment.store.outage = Outage.NONE
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(fail_store())
+            await deployment.send_copies(3)
+            await asyncio.sleep(10.0)
+            await deployment.send_copies()
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
+@pytest.mark.parametrize("target", [FETCH, ORDER])
+def test_crashes_count_that_hosts_saw_while_they_were_cut_off(loop, tmp_path, target):
+    """Each of three hosts sees a crash while no other host hears from it."""
+
+    async def main():
+        deployment = CrashingDeployment(
+            tmp_path, target, hosts=4, is_renamed_on_restart=True
+        )
+        await deployment.start()
+        for host in deployment.hosts[:3]:
+            for other in deployment.hosts:
+                if other is not host:
+                    loop.network.partition(host.settings.ip, other.settings.ip)
+            # A single server is left, so that the copy is not sent again.
+            await deployment._send_copy(host, None)
+            await asyncio.sleep(4.5)
+            loop.network.heal()
+            await asyncio.sleep(STABLE_SECONDS)
+        await deployment.send_copies()
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
+@pytest.mark.parametrize("crash_mode", list(CrashMode))
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
+def test_crashes_count_at_the_size_of_a_grown_deployment(
+    loop, tmp_path, target, crash_mode
+):
+    async def main():
+        deployment = CrashingDeployment(
+            tmp_path,
+            target,
+            crash_mode,
+            0.5,
+            hosts=24,
+            data_centres=("a", "b", "c", "d"),
+            shards=30,
+            servers_per_service=3,
+            is_renamed_on_restart=True,
+        )
+        await deployment.start()
+        await deployment.send_copies(10)
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -4,12 +4,13 @@
 import hashlib
 import random
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from crocusbay_gateway.protocol import encode_reply
 from crocusbay_gateway.state import Reply, ServerEntry
 from crocusbay_gateway.state.request import Headers
 from crocusbay_platform.names import HTTP_CONVENTIONS
-from crocusbay_standins.soak.proxy import Proxy
+from crocusbay_standins.soak.proxy import LinkFault, Proxy
 from crocusbay_standins.soak.store import StandInStore, read_message
 from crocusbay_standins.soak.tcp_server import listen
 
@@ -24,6 +25,17 @@
 RESTART_SECONDS = 2.0
 
 
+class CrashMode(StrEnum):
+    """What becomes of the connections of a server that a request crashes."""
+
+    # Reset; nothing listens any more.
+    RESET = "reset"
+    # Silent until the server restarts.
+    SILENT = "silent"
+    # Reset; the address accepts connections until the server restarts.
+    ACCEPTING = "accepting"
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """Request that reached a server at a time of the loop (seconds)."""
@@ -85,6 +97,9 @@
     peak_connections: int = 0
     # Whether a server that a request has crashed restarts under a new name.
     is_renamed_on_restart: bool = False
+    crash_mode: CrashMode = CrashMode.RESET
+    # Time after which the entry of a server that restarts under a new name is removed.
+    entry_lease_seconds: float = 0.0
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port and register; port 0 lets the system choose one."""
@@ -185,9 +200,9 @@
             self._pending_requests -= 1
         if self._is_crashed_by(target):
             if self.is_up:
-                self.crash()
+                self._crash_by_request()
                 self._restart_task = asyncio.ensure_future(self._restart())
-            return False
+            return self.crash_mode is CrashMode.SILENT
         return self._write_response(attempt_id, writer)
 
     def _is_crashed_by(self, target: str) -> bool:
@@ -195,10 +210,28 @@
         _, mark, rest = target.partition(CRASH_MARK)
         return bool(mark) and rest.partition("@")[2] in ("", self.service)
 
+    def _crash_by_request(self) -> None:
+        match self.crash_mode:
+            case CrashMode.RESET:
+                self.crash()
+            case CrashMode.SILENT:
+                self.is_up = False
+                self._heartbeat_task.cancel()
+                self.proxy.set_fault(LinkFault.BLACKHOLE)
+            case CrashMode.ACCEPTING:
+                self.is_up = False
+                self._heartbeat_task.cancel()
+                self.proxy.set_fault(LinkFault.RESET)
+                self.proxy.set_fault(LinkFault.BLACKHOLE)
+
     async def _restart(self) -> None:
+        """Start again after a crash, under a new name once the entry is removed."""
         if self.is_renamed_on_restart:
+            await asyncio.sleep(self.entry_lease_seconds)
             self.deregister()
         await asyncio.sleep(RESTART_SECONDS)
+        if self.crash_mode is not CrashMode.RESET:
+            self.crash()
         if self.is_renamed_on_restart:
             name, _, count = self.name.partition("-")
             self.name = f"{name}-{int(count or 0) + 1}"
