Report crashes at once, and again to hosts that are found

Seen: when the host that had sent a copy was killed just after its reply, or was cut off for some seconds, no other host learned of the crash.

Cause: a crash was reported with the next heartbeat, up to 0.25 s later, for 3 s, and kept in the store only from the third on. Ruled out: a write to the store for each crash, which costs a call for each harmless request that a failing server takes along; longer reports in all heartbeats, 0.5 KB each.

Change: a host reports crashes that it observed within 5 ms, those of that time in one heartbeat, and repeats those of the latest 64 requests for 3 s when it finds a host that is new or was lost.

A host that is killed before its check of the address ends still takes the crash along.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -18,6 +18,9 @@
 from crocusbay_gateway.state import CallerRequest, ServerEntry
 from crocusbay_gateway.transport import Listening
 
+# Crashes observed within this time are reported together.
+REPORT_DELAY_SECONDS = 0.005
+
 
 class Finding(Enum):
     """What is known of the entry of a server that may have crashed."""
@@ -27,7 +30,10 @@
 
 
 class CrashMonitor:
-    """Update the quarantine, and log each change with its source."""
+    """Update the quarantine, and log each change with its source.
+
+    `report` is called soon after each crash that this host observed.
+    """
 
     def __init__(
         self,
@@ -35,6 +41,7 @@
         log: EventLog,
         metrics: GatewayMetrics,
         timers: TimerService,
+        report: Callable[[], None] = lambda: None,
     ) -> None:
         self.quarantine = quarantine
         self.now: Callable[[], float] = timers.now
@@ -43,6 +50,9 @@
         self._observed: set[str] = set()
         self._log = log
         self._metrics = metrics
+        self._timers = timers
+        self._report = report
+        self._is_report_due = False
 
     def track(self, request: CallerRequest) -> "RequestCrashes":
         """Return the tracker of one copy of a request."""
@@ -69,6 +79,8 @@
             log_event(
                 "server-crashed", service=crash.service, server=crash.server, **fields
             )
+            if source == SOURCE_OWN:
+                self._report_soon()
         if source == SOURCE_OWN:
             self._observed.add(fingerprint)
         if is_newly_quarantined:
@@ -110,6 +122,21 @@
             )
             self.record_crash(report.fingerprint, crash, source)
 
+    def share_again(self) -> None:
+        """Report the latest crashes once more, to a host that may have missed them."""
+        self.quarantine.share_again(self.now())
+
+    def _report_soon(self) -> None:
+        if self._is_report_due:
+            return
+
+        def report() -> None:
+            self._is_report_due = False
+            self._report()
+
+        self._is_report_due = True
+        self._timers.at(self.now() + REPORT_DELAY_SECONDS, report)
+
     def record_response(self, fingerprint: str, service: str, request_id: str) -> None:
         """Record that a server ran a request to its end."""
         crash_count = self.quarantine.record_response(fingerprint, service, self.now())
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -136,6 +136,7 @@
         if self._membership.update(status, now):
             self._log.info("host-found", peer=status.name, place=status.data_centre)
             self._on_host_joined()
+            self._crash_monitor.share_again()
             response = self._make_heartbeat(includes_contacts=True)
             self._endpoint.send_heartbeat(response, [status.peer_address])
         for contact in heartbeat.known_hosts:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import KeysView
 from dataclasses import dataclass, field, replace
+from itertools import islice
 
 import xxhash
 
@@ -22,6 +23,9 @@
 # Each crash is reported in the heartbeats of this period, and later only if the request
 # is quarantined, one request at a time.
 CRASH_SHARING_SECONDS = 3.0
+# Requests whose crashes are reported again to a host that was not reached; as many as
+# heartbeats have room for in that period.
+MAX_SHARED_AGAIN = 64
 
 
 def request_fingerprint(request: CallerRequest) -> str:
@@ -211,6 +215,12 @@
             self._shared_until.move_to_end(fingerprint)
         return tuple(reports[:MAX_SHARED_CRASHES])
 
+    def share_again(self, now: float) -> None:
+        """Report the crashes of the latest requests for another period."""
+        latest = islice(reversed(self._by_fingerprint), MAX_SHARED_AGAIN)
+        for fingerprint in list(latest):
+            self._shared_until[fingerprint] = now + CRASH_SHARING_SECONDS
+
     def pop_expired(self, now: float) -> list[str]:
         """Delete the records whose retention has ended; return their fingerprints."""
         expired = [
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
@@ -8,7 +10,7 @@
     Crash,
     Quarantine,
 )
-from crocusbay_gateway.coordination.sources import SOURCE_PEER
+from crocusbay_gateway.coordination.sources import SOURCE_OWN, SOURCE_PEER
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
 
 NOW = 10.0
@@ -90,6 +92,40 @@
     assert all(report.age > CRASH_SHARING_SECONDS for report in reports)
 
 
+def test_crashes_below_the_threshold_are_reported_again_to_a_host_that_is_found():
+    quarantine = Quarantine()
+    add_crashes(quarantine, "f", ("s", "a", 1, True), ("s", "b", 1, True))
+    later = NOW + CRASH_SHARING_SECONDS + 1.0
+    assert quarantine.reports_to_share(later) == ()
+    quarantine.share_again(later)
+    reports = quarantine.reports_to_share(later)
+    assert {report.server for report in reports} == {"a", "b"}
+    assert quarantine.reports_to_share(later + CRASH_SHARING_SECONDS + 1.0) == ()
+
+
+@pytest.mark.anyio
+async def test_crashes_are_reported_at_once_and_together():
+    gateway = SimulatedGateway({})
+    reports = []
+    context = gateway.context
+    monitor = CrashMonitor(
+        Quarantine(),
+        context.log,
+        context.metrics,
+        gateway.timers,
+        lambda: reports.append(gateway.timers.now()),
+    )
+    crash = Crash("s", "a", 1, gateway.timers.now())
+    monitor.record_crash("f", crash, SOURCE_PEER)
+    for server in "bcb":
+        monitor.record_crash("f", replace(crash, server=server), SOURCE_OWN)
+    await gateway.timers.advance(1.0)
+    assert len(reports) == 1
+    monitor.record_crash("f", replace(crash, server="d"), SOURCE_OWN)
+    await gateway.timers.advance(1.0)
+    assert len(reports) == 2
+
+
 def test_crash_is_reported_after_those_of_later_requests():
     quarantine = Quarantine()
     add_crashes(quarantine, "a", ("s", "s1", 1, True))
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -159,7 +159,11 @@
             tasks.start_soon,
         )
         self.crash_monitor = CrashMonitor(
-            Quarantine(), self.log, self.metrics, self.timers
+            Quarantine(),
+            self.log,
+            self.metrics,
+            self.timers,
+            lambda: self.peering.send_heartbeat(),
         )
         self.server_statements = ServerStatements(
             self.registry, self.log, self.metrics, self.timers
