Let soaks crash servers by orders, in silence and behind open addresses

A soak repeats crashing orders beside the crashing requests, checks that they run at most once, and draws for each server how it crashes and when its entry is removed. Both are options; the draws of older seeds are the same.

--- a/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_runner.py
@@ -18,6 +18,7 @@
     SoakPlan(1087),
     SoakPlan(3000, crashing_requests=3),
     SoakPlan(4000, restores=2),
+    SoakPlan(8000, crashing_requests=2, crashing_orders=1, has_varied_crashes=True),
 ]
 
 
--- a/packages/standins/crocusbay_standins/soak/__main__.py
+++ b/packages/standins/crocusbay_standins/soak/__main__.py
@@ -22,6 +22,14 @@
     default=0,
     help="Requests, repeated throughout, that crash the servers that run them.",
 )
+@click.option(
+    "--crashing-orders", default=0, help="The same with orders, which may run once."
+)
+@click.option(
+    "--varied-crashes",
+    is_flag=True,
+    help="Servers also crash in silence, or while their address accepts connections.",
+)
 @click.option("--restores", default=0, help="Restores of the store from older copies.")
 @click.option(
     "--production",
@@ -41,6 +49,8 @@
     callers: int,
     seconds: float,
     crashing_requests: int,
+    crashing_orders: int,
+    varied_crashes: bool,
     restores: int,
     production: str,
     logs: Path | None,
@@ -59,6 +69,8 @@
             callers,
             seconds,
             crashing_requests=crashing_requests,
+            crashing_orders=crashing_orders,
+            has_varied_crashes=varied_crashes,
             restores=restores,
             production=production,
         )
--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -29,6 +29,17 @@
     PROBE = "probe"
     # Its target is the same in every copy, and each server that runs it crashes.
     CRASHING = "crashing"
+    CRASHING_ORDER = "crashing-order"
+
+    @property
+    def is_order(self) -> bool:
+        """Return whether a request may run only once."""
+        return self in (RequestKind.ORDER, RequestKind.CRASHING_ORDER)
+
+    @property
+    def is_crashing(self) -> bool:
+        """Return whether each server that runs a request crashes."""
+        return self in (RequestKind.CRASHING, RequestKind.CRASHING_ORDER)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +146,7 @@
         return outcome
 
     def _encode(self, kind: RequestKind, target: str, attempt_id: str) -> bytes:
-        method = "POST" if kind is RequestKind.ORDER else "GET"
+        method = "POST" if kind.is_order else "GET"
         head = (
             f"{method} {target} HTTP/1.1\r\n"
             "Host: soak.example\r\n"
--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -153,7 +153,7 @@
     runs = Counter(a.attempt_id for a in observations.received_requests if a.has_run)
     violations = []
     for outcome in observations.outcomes:
-        if outcome.kind is not RequestKind.ORDER:
+        if not outcome.kind.is_order:
             continue
         if runs[outcome.attempt_id] > 1:
             detail = f"{runs[outcome.attempt_id]} runs"
@@ -328,7 +328,7 @@
     outcome_by_attempt_id = {
         outcome.attempt_id: outcome
         for outcome in observations.outcomes
-        if outcome.kind is RequestKind.CRASHING
+        if outcome.kind.is_crashing
     }
     by_target: dict[str, list[ReceivedRequest]] = defaultdict(list)
     for request in observations.received_requests:
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -12,8 +12,8 @@
 from crocusbay_standins.soak.faults import FaultInjector
 from crocusbay_standins.soak.hosts import ProcessHost, SoakHost, make_hosts
 from crocusbay_standins.soak.proxy import Proxy
-from crocusbay_standins.soak.servers import CRASH_MARK, StandInServer
-from crocusbay_standins.soak.store import StandInStore
+from crocusbay_standins.soak.servers import CRASH_MARK, CrashMode, StandInServer
+from crocusbay_standins.soak.store import SERVER_LEASE_SECONDS, StandInStore
 from crocusbay_standins.soak.versions import extract_version
 
 DATA_CENTRES = ["a", "b", "c"]
@@ -40,6 +40,9 @@
     data_centres: int = 2
     # Requests that crash the servers that run them; each is sent again and again.
     crashing_requests: int = 0
+    crashing_orders: int = 0
+    # Whether servers also crash in silence, or while their address accepts connections.
+    has_varied_crashes: bool = False
     # Restores of the store from older copies; they may overlap.
     restores: int = 0
     # Commit of the version that hosts run at first; they are upgraded under faults.
@@ -116,7 +119,7 @@
                 tasks.create_task(caller.run()) for caller in self._make_callers()
             ]
             running.append(tasks.create_task(self._run_probes()))
-            if self.plan.crashing_requests:
+            if self.plan.crashing_requests or self.plan.crashing_orders:
                 running.append(tasks.create_task(self._send_crashing_requests()))
             await asyncio.sleep(WARM_UP_SECONDS)
             await self._inject_faults()
@@ -171,7 +174,11 @@
             for index, service in enumerate(make_services())
             for number in range(SERVERS_PER_SERVICE)
         ]
+        rng = random.Random(f"{self.plan.seed} crash modes")
         for server in servers:
+            if self.plan.has_varied_crashes:
+                server.crash_mode = rng.choice(list(CrashMode))
+                server.entry_lease_seconds = rng.uniform(0.0, SERVER_LEASE_SECONDS)
             await server.start()
         return servers
 
@@ -222,18 +229,23 @@
         rng = random.Random(f"{self.plan.seed} crashing")
         paths = [PATHS[RequestKind.GATHER], PATHS[RequestKind.FETCH]]
         targets = [
-            f"{paths[number % 2]}{CRASH_MARK}-{number}"
+            (RequestKind.CRASHING, f"{paths[number % 2]}{CRASH_MARK}-{number}")
             for number in range(self.plan.crashing_requests)
         ]
+        targets += [
+            (
+                RequestKind.CRASHING_ORDER,
+                f"{PATHS[RequestKind.ORDER]}{CRASH_MARK}-{number}",
+            )
+            for number in range(self.plan.crashing_orders)
+        ]
         caller = Caller("crashing", self._hosts, self.outcomes, rng, PATHS)
         while True:
             await asyncio.sleep(rng.uniform(0.0, MAX_CRASHING_PAUSE_SECONDS))
             host = rng.choice(self._hosts)
             if host.is_running and not host.is_paused:
                 await caller.send_request(
-                    host.settings.caller_address,
-                    RequestKind.CRASHING,
-                    rng.choice(targets),
+                    host.settings.caller_address, *rng.choice(targets)
                 )
 
     def _report(self) -> SoakReport:
@@ -254,7 +266,8 @@
             o
             for o in self.outcomes
             if o.sent_at > since
-            and o.kind not in (RequestKind.PROBE, RequestKind.CRASHING)
+            and o.kind is not RequestKind.PROBE
+            and not o.kind.is_crashing
         ]
         succeeded = sum(outcome.status == 200 for outcome in recent)
         if succeeded < MIN_SERVED_RATIO * len(recent) or not recent:
