Save crashes below the threshold to the store if no server responded

Cause: the store got a quarantine only, fewer crashes lived in the memory of hosts. Ruled out: the reports (each host had heard of the crashes before it was killed).

Change: a host that observed a crash writes it within 0.5 s if no server responded to the copy, and removes it once a server of the service responds. Requests that others answer, as most that a failing server takes along, cost no call. The test that only quarantines are written is replaced by one that says which crashes are, and that they are removed.

Crashes of the last 0.5 s before all hosts are killed are still lost.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -45,8 +45,10 @@
     ) -> None:
         self.quarantine = quarantine
         self.now: Callable[[], float] = timers.now
-        # Quarantined requests of which this host observed a crash, until `pop_unsaved`.
+        # Requests to save of which this host observed a crash, until `pop_unsaved`.
         self._unsaved: set[str] = set()
+        # Requests whose crashes turned out to have another cause, until `pop_cleared`.
+        self._cleared: set[str] = set()
         self._observed: set[str] = set()
         self._log = log
         self._metrics = metrics
@@ -83,6 +85,9 @@
                 self._report_soon()
         if source == SOURCE_OWN:
             self._observed.add(fingerprint)
+            if crash.is_unanswered and crash.key in crashes:
+                self._unsaved.add(fingerprint)
+                self._cleared.discard(fingerprint)
         if is_newly_quarantined:
             self._metrics.quarantines.inc(source)
             self._log.warning("quarantined", **fields)
@@ -148,9 +153,21 @@
                 request=request_id,
                 crashes=crash_count,
             )
+            if not self.quarantine.crashes(fingerprint):
+                self._unsaved.discard(fingerprint)
+                self._cleared.add(fingerprint)
+
+    def pop_cleared(self) -> set[str]:
+        """Return the requests of which no crash counts any more."""
+        cleared, self._cleared = self._cleared, set()
+        return cleared
 
     def pop_unsaved(self) -> list[str]:
-        """Return the quarantined requests to save, which then count as saved."""
+        """Return the requests to save, which then count as saved.
+
+        Crashes are saved once they quarantine a request, or if no server responded to
+        the copy that the servers ran.
+        """
         unsaved, self._unsaved = self._unsaved, set()
         return sorted(unsaved)
 
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -25,7 +25,7 @@
 
 
 class QuarantineStore:
-    """Write the quarantines that this host observed, and read those of others."""
+    """Write the crashes that this host observed, and read those of others."""
 
     def __init__(
         self,
@@ -67,7 +67,8 @@
 
     async def synchronize(self) -> None:
         """Read, write and remove what is due; what fails is due again next time."""
-        expired = self._crash_monitor.pop_expired()
+        expired = self._crash_monitor.pop_cleared()
+        expired.update(self._crash_monitor.pop_expired())
         self._unsaved.update(self._crash_monitor.pop_unsaved())
         self._unsaved.difference_update(expired)
         self._expired.update(self._saved.intersection(expired))
@@ -103,6 +104,9 @@
         reports = self._crash_monitor.quarantine.decisive_reports(
             fingerprint, self._timers.now()
         )
+        if fingerprint in self._expired:
+            # The removal was due before the request crashed servers again.
+            self._expired.discard(fingerprint)
         await self._store.write_crash_reports(fingerprint, tuple(reports))
         self._unsaved.discard(fingerprint)
         self._saved.add(fingerprint)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -69,9 +69,9 @@
             )
             self.membership.update(status, self.timers.now())
 
-    def crash_servers(self, count=3):
+    def crash_servers(self, count=3, is_unanswered=True):
         for number in range(count):
-            crash = Crash("s", f"s{number}", 1, self.timers.now(), is_unanswered=True)
+            crash = Crash("s", f"s{number}", 1, self.timers.now(), is_unanswered)
             self.monitor.record_crash("f", crash, SOURCE_OWN)
 
     def is_quarantined(self):
@@ -114,14 +114,34 @@
     assert not store.by_fingerprint
 
 
-async def test_only_quarantines_are_written():
+@pytest.mark.parametrize("is_unanswered", [True, False])
+async def test_crashes_are_written_if_no_server_responded(is_unanswered):
+    """Servers that fail take harmless requests along, which others mostly answer."""
     store = FakeStore()
     host = Host(store)
-    host.crash_servers(2)
+    host.crash_servers(2, is_unanswered=is_unanswered)
+    await host.quarantine_store.synchronize()
+    assert bool(store.by_fingerprint) == is_unanswered
+    host.monitor.record_response("f", "s", "a1")
     await host.quarantine_store.synchronize()
     assert not store.by_fingerprint
 
 
+async def test_crash_after_a_response_is_written():
+    store = FakeStore()
+    host = Host(store)
+    host.crash_servers(1)
+    await host.quarantine_store.synchronize()
+    host.monitor.record_response("f", "s", "a1")
+    store.is_unavailable = True
+    await host.quarantine_store.synchronize()
+    await host.timers.advance(1.0)
+    host.crash_servers(2)
+    store.is_unavailable = False
+    await host.quarantine_store.synchronize()
+    assert len(store.by_fingerprint["f"]) == 2
+
+
 async def test_few_hosts_read_and_each_once_unless_it_is_isolated():
     names = [f"host-{number}" for number in range(2 * READERS)]
     store = FakeStore()
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
@@ -183,6 +183,20 @@
     loop.run_until_complete(main())
 
 
+def test_crashes_count_after_restarts_of_all_hosts(loop, tmp_path):
+    """Fewer than three crashes are known at each restart."""
+
+    async def main():
+        deployment = CrashingDeployment(tmp_path, ORDER, is_renamed_on_restart=True)
+        await deployment.start()
+        for _ in range(5):
+            await deployment.send_copies(2)
+            await deployment.restart(deployment.hosts)
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
 @pytest.mark.parametrize("crash_mode", list(CrashMode))
 @pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
 def test_crashes_count_at_the_size_of_a_grown_deployment(
