Close a product connection that a server wants to upgrade

Cause: the parser reports a switch of protocols followed by further bytes with an exception that is not one of its errors. The reader of a connection let it pass, and it ended all tasks of the pool. The other users of the parser handle both.

Change: such a connection is closed like any other that breaks the protocol.

--- a/packages/core/crocusbay/transport/connection.py
+++ b/packages/core/crocusbay/transport/connection.py
@@ -125,7 +125,11 @@
                 self._check_size(len(data))
         except anyio.EndOfStream:
             self.close_cause = Cause.RESET
-        except (httptools.HttpParserError, ProtocolError) as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ProtocolError,
+        ) as error:
             is_mismatch = isinstance(error.__context__ or error, ResponseMismatchError)
             self.close_cause = (
                 Cause.RESPONSE_MISMATCH if is_mismatch else Cause.PROTOCOL
