Keep the whole reason phrase of a response that arrives in parts

Cause: the parser passes on a reason phrase as it arrives, and each part replaced the one before. A status line split between two segments reached the caller with the end of its reason only. Found by splitting responses where other tests cut them.

Ruled out, by splitting 50 responses at each byte (5,571 cases): that a split changes the status, a header, the body or the framing.

Change: the parts are joined. The scripted server lets its client read each chunk on its own; before, chunks of a script could arrive as one.

--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -213,9 +213,9 @@
         self._reset_message()
 
     def on_status(self, reason: bytes) -> None:
-        """Store the reason phrase (called by the parser)."""
+        """Append a chunk of the reason phrase (called by the parser)."""
         if not self._has_extra_data:
-            self._reason = reason
+            self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header (called by the parser)."""
--- a/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -45,6 +45,9 @@
                         return
                     writer.write(chunk)
                     await writer.drain()
+                    # The client, on the same loop, reads each chunk on its own.
+                    for _ in range(2):
+                        await asyncio.sleep(0)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_cut_responses.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_cut_responses.py
@@ -180,3 +180,16 @@
     async with open_pool(*scripts) as (_, pool, timers):
         verdicts = [await send_request(pool, timers) for _ in offsets]
     assert set(verdicts) <= {MayHaveRun(Cause.RESET), MayHaveRun(Cause.PROTOCOL)}
+
+
+@pytest.mark.parametrize("response", RESPONSES, ids=str)
+async def test_response_split_at_any_byte_is_the_same(response):
+    data = response.data
+    offsets = range(len(data))
+    ending = (END,) if response.framing.ends_with_connection else ()
+    scripts = [(data[:offset], data[offset:], *ending) for offset in offsets]
+    async with open_pool((data, *ending), *scripts) as (_, pool, timers):
+        whole = await send_request(pool, timers)
+        assert isinstance(whole, Ran)
+        for offset in offsets:
+            assert await send_request(pool, timers) == whole, data[:offset]
