Reject a view whose end another host did not send

Cause: a view is compressed, and its checksum comes last. The decompressor passes on what it has and does not complain of an end before the checksum, so that a view cut within it was used without being verified. What was read of it was whole.

Ruled out, by cutting the messages of relays and handovers at each byte by FIN and by RST (324 cases), and a view (52 cases): that a message is read that was not sent to its end. A length precedes each.

Change: a view counts only if the decompressor has seen its end, which also names views that are too large.

--- a/packages/gateway/crocusbay_gateway/transport/peer.py
+++ b/packages/gateway/crocusbay_gateway/transport/peer.py
@@ -244,6 +244,8 @@
     decompressor = zlib.decompressobj()
     try:
         decompressed = decompressor.decompress(data, MAX_VIEW_BYTES)
+        if not decompressor.eof:
+            raise ValueError(f"view from {address} is cut off or too large")
         return _view_decoder.decode(decompressed)
     except (zlib.error, msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ValueError(f"malformed view from {address}: {error}") from error
--- a/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/scripted.py
@@ -33,15 +33,8 @@
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
                 script = self.scripts.pop(0) if self.scripts else (ok_response(),)
                 for chunk in script:
-                    if chunk is RESET:
-                        connection = writer.get_extra_info("socket")
-                        connection.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-                        )
-                        writer.transport.abort()
-                        return
-                    if chunk is END:
-                        writer.close()
+                    if chunk in (RESET, END):
+                        close(writer, chunk)
                         return
                     writer.write(chunk)
                     await writer.drain()
@@ -56,6 +49,25 @@
 END = object()
 
 
+def close(writer, ending):
+    """Close the connection, or reset it once all that was written is sent."""
+    if ending is END:
+        writer.close()
+        return
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@asynccontextmanager
+async def open_server(serve):
+    """Yield the address of a server that handles each connection."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        ip, port = server.sockets[0].getsockname()
+        yield f"{ip}:{port}"
+
+
 def ok_response(attempt_id=b"a1", body=b"body", extra=b""):
     return (
         b"HTTP/1.1 200 OK\r\nX-Attempt: %b\r\nX-Signature: sig\r\n"
@@ -67,13 +79,14 @@
 async def open_pool(*scripts, connection_limit=4, budget=None, **options):
     """Yield a scripted server and a pool of connections to it."""
     scripted = ScriptedServer(*scripts)
-    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
-    ip, port = server.sockets[0].getsockname()
     timers = TimerService()
-    async with anyio.create_task_group() as tasks:
+    async with (
+        open_server(scripted.serve) as address,
+        anyio.create_task_group() as tasks,
+    ):
         tasks.start_soon(timers.run)
         pool = ServerPool(
-            f"{ip}:{port}",
+            address,
             connection_limit,
             HTTP_CONVENTIONS,
             timers,
@@ -83,7 +96,6 @@
         )
         yield scripted, pool, timers
         pool.abort()
-        server.close()
         tasks.cancel_scope.cancel()
 
 
