--- a/packages/standins/crocusbay_standins/emulator/tests/deployment.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/deployment.py
@@ -36,6 +36,7 @@
         is_renamed_on_restart=True,
         shards=SHARDS,
         servers_per_service=SERVERS_PER_SERVICE,
+        server_type=StandInServer,
     ):
         self.folder = folder
         self.host_count = hosts
@@ -43,6 +44,7 @@
         self.is_renamed_on_restart = is_renamed_on_restart
         self.shards = shards
         self.servers_per_service = servers_per_service
+        self.server_type = server_type
         self.store = StandInStore(random.Random(1))
         self.outcomes = []
         self.received_requests = []
@@ -55,7 +57,7 @@
             Configuration(1, make_routes(0, self.shards), services)
         )
         self.servers = [
-            StandInServer(
+            self.server_type(
                 f"{service.name}/{number}",
                 service.name,
                 self.data_centres[(index + number) % len(self.data_centres)]
