Take a success without a signature for no response

A server that answered "200" without a signature, such as one that writes other bytes, had its body forwarded as a success; gathers refused it already.

Change: a forwarded request is retried if it may be repeated, and else ends with 502: it may have run. Ruled out: other statuses, which bear what the server sent in any case.

--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -161,6 +161,10 @@
             self._handle_failure(attempt, verdict)
 
     def _handle_response(self, attempt: Attempt, response: ServerResponse) -> None:
+        if response.is_success and not response.signature:
+            failure = MayHaveRun(Cause.PROTOCOL, detail="success without a signature")
+            self._handle_failure(attempt, failure)
+            return
         if response.status < 500:
             self._finish(self._make_reply_from_response(response))
             return
--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -89,6 +89,7 @@
     body: bytes = b"r" * 16
     statement: ServerStatement = ServerStatement()
     listening: Listening = Listening.ACCEPTED
+    is_signed: bool = True
 
 
 @dataclass
@@ -139,7 +140,7 @@
         exchange.channel.current_exchange = None
         if script.verdict == "answer":
             self.on_statement(script.statement)
-            signature = f"sig-{self.name}".encode()
+            signature = f"sig-{self.name}".encode() if script.is_signed else b""
             headers = ((HTTP_CONVENTIONS.signature, signature), *script.headers)
             response = ServerResponse(
                 script.status,
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
@@ -88,6 +88,20 @@
     assert elapsed < 0.1
 
 
+@pytest.mark.parametrize(
+    ("kind", "status"), [(RouteKind.IDEMPOTENT, 200), (RouteKind.NON_IDEMPOTENT, 502)]
+)
+async def test_success_without_a_signature_is_no_response(kind, status):
+    gateway = SimulatedGateway(SERVERS)
+    first = gateway.registry.choose_server("s").entry.name
+    gateway.set_script(first, is_signed=False, body=b"not of the server")
+    reply, _ = await run_to_completion(
+        gateway, make_handler(gateway, make_route(ToService("s"), kind=kind))
+    )
+    assert reply.status == status
+    assert reply.body != b"not of the server"
+
+
 @pytest.mark.parametrize(
     ("verdict", "status"),
     [(NotRun(Cause.CONNECT_FAILED), 503), (RESET, 502)],
