Answer or refuse what can't end before a planned stop, instead of cutting it

Callers of a host that stopped as planned saw their connection closed without an answer at the end of the grace, orders among them, whose fate they could not know.

Cause: requests kept their own time limit (the route's timeout and the caller's deadline, often longer than what is left of the grace), were passed on to the end, and the process ended half a second before its grace whether or not they still ran. The same held for requests that a host without servers had handed over to others.

Ruled out: the close of the listener and of idle connections, which cut no request that had been passed on; `SIGHUP`, which touches no connection.

Change: a policy apart from I/O, `PlannedStop`, says until when the host listens, by when it answers what still runs, and when it ends. A request that comes during the stop is refused at once (503, `not-run host-leaving`) unless it is likely to end: by its route's goal, its slowest recent attempt and the oldest request running on the route; twice that for one that may not be repeated. It holds for retries too. What still runs half a second before the end of the grace is answered: 502 (`may-have-run host-leaving`), or the parts that are in.

The first slow request of a route is not foreseen; it is answered 502.

--- a/packages/core/crocusbay/state/verdict.py
+++ b/packages/core/crocusbay/state/verdict.py
@@ -13,6 +13,7 @@
     RESPONSE_MISMATCH = "crossed"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    HOST_LEAVING = "host-leaving"
     IN_PROGRESS = "in-progress"
     LEAVING = "leaving"
     NO_CONNECTION = "no-connection"
--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -22,6 +22,8 @@
 CONNECT_WAIT_SECONDS = 0.05
 # An attempt is late after this multiple of the median latency, even if many others are.
 LATE_MEDIAN_MULTIPLE = 2.2
+# Share of the slowest latency that is kept with each further sample.
+SLOWEST_DECAY = 0.99
 # An abandoned attempt may occupy its server for at most this long.
 ABANDONED_ATTEMPT_GRACE_SECONDS = 0.3
 
@@ -30,6 +32,8 @@
     """Estimate a route's median attempt latency and its hedge delay (seconds)."""
 
     def __init__(self, goal: float) -> None:
+        self._goal = goal
+        self._slowest = 0.0
         median = INITIAL_MEDIAN_SHARE_OF_GOAL * goal
         self.median = QuantileEstimate(0.5, median)
         self.high_quantile = QuantileEstimate(
@@ -47,8 +51,14 @@
         )
         return min(upper_bound, self.high_quantile.value)
 
+    @property
+    def expected_time(self) -> float:
+        """Return the time in which a request is likely to end (seconds)."""
+        return max(self._goal, self._slowest)
+
     def add_sample(self, elapsed: float) -> None:
         """Add the latency of a first attempt that finished or was abandoned."""
+        self._slowest = max(elapsed, SLOWEST_DECAY * self._slowest)
         self.median.add_sample(elapsed)
         self.high_quantile.add_sample(elapsed)
 
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -11,6 +11,7 @@
     RouteLatency,
 )
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.coordination.refusal import reply_to_failure
 from crocusbay_gateway.coordination.request_handler import RequestHandler
 from crocusbay_gateway.protocol import forwardable_headers
@@ -66,6 +67,14 @@
             or any(attempt.is_sent for attempt in self._in_flight)
         )
 
+    def start_leaving(self, planned_stop: PlannedStop) -> None:
+        """Reply by the time at which this host answers what is still in progress."""
+        self._planned_stop = planned_stop
+        if planned_stop.answer_by <= self._give_up_at:
+            self._give_up_at = planned_stop.answer_by
+            self._give_up_cause = Cause.HOST_LEAVING
+            self._call_at(self._give_up_at, self._give_up)
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
         return {
@@ -115,7 +124,16 @@
         return NotRun(Cause.OVERLOAD)
 
     def _send(self, reason: str) -> bool:
-        """Send to the best remaining server; return False if none is usable."""
+        """Send to the best remaining server; return False if none is usable.
+
+        A host that leaves sends only what is likely to end before.
+        """
+        if self._planned_stop is not None and not self._planned_stop.accepts(
+            self._now(),
+            self._latency.expected_time,
+            is_idempotent=self._route.is_idempotent,
+        ):
+            return False
         attempt = self._attempt_factory.create_attempt(
             self._history,
             self._service,
@@ -221,7 +239,7 @@
         if self._in_flight and any(
             attempt.exchange.is_sent for attempt in self._in_flight
         ):
-            self._fail(MayHaveRun(Cause.DEADLINE))
+            self._fail(MayHaveRun(self._give_up_cause))
         else:
             self._fail(self._failure or NotRun(Cause.NO_CONNECTION))
 
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -1,5 +1,6 @@
 """Scatter-gather: send a request to every shard of a route and merge the parts."""
 
+from dataclasses import replace
 from itertools import chain
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran, Verdict
@@ -11,6 +12,7 @@
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.dispatch import AttemptDispatcher
 from crocusbay_gateway.coordination.partial import Decision, PartialAnswerPolicy
+from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.coordination.records import greatest_records
 from crocusbay_gateway.coordination.refusal import reply_to_failure
 from crocusbay_gateway.coordination.request_handler import RequestHandler
@@ -75,6 +77,14 @@
         """Return whether no part has arrived."""
         return not self._received_count
 
+    def start_leaving(self, planned_stop: PlannedStop) -> None:
+        """Reply by the time at which this host answers what is still in progress."""
+        self._planned_stop = planned_stop
+        if planned_stop.answer_by <= self._policy.give_up_at:
+            self._policy = replace(self._policy, give_up_at=planned_stop.answer_by)
+            self._give_up_cause = Cause.HOST_LEAVING
+            self._call_at(planned_stop.answer_by, self._apply_policy)
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
         missing = [each.service for each in self.sub_requests if not each.signature]
@@ -395,7 +405,7 @@
             or any(each.open_attempts for each in self.sub_requests)
             or remaining_time <= 0
         ):
-            return reply_to_failure(MayHaveRun(Cause.DEADLINE), remaining_time)
+            return reply_to_failure(MayHaveRun(self._give_up_cause), remaining_time)
         not_run = [
             each.failure for each in self.sub_requests if each.failure is not None
         ]
--- /dev/null
+++ b/packages/gateway/crocusbay_gateway/coordination/planned_stop.py
@@ -0,0 +1,55 @@
+"""Policy for requests during a planned stop of this host.
+
+Callers use a leaving host while they have its address or an open connection. Other
+hosts are there, so a request that would not end in time is refused before it is sent.
+"""
+
+from dataclasses import dataclass
+
+# Before a stop, the entry addresses that callers have cached must expire; the rest of
+# the time is for requests in flight to finish.
+LISTENING_SHARE_OF_STOP_TIME = 0.7
+# The platform kills the process at the end of the stop time, and the signal to stop may
+# have been handled late.
+ANSWER_MARGIN_SECONDS = 0.5
+# The last replies are sent in this time.
+END_MARGIN_SECONDS = 0.25
+# A refused request may be repeated elsewhere at once; one that may not be repeated is
+# lost if it is broken off.
+EXPECTED_TIME_RATIO = 1.0
+NON_IDEMPOTENT_EXPECTED_TIME_RATIO = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """Decide which requests are served; times are monotonic (seconds).
+
+    New connections are accepted until `listen_until`, requests that still run are
+    answered at `answer_by`, and the process ends at `end_by` at the latest.
+    """
+
+    listen_until: float
+    answer_by: float
+    end_by: float
+
+    def accepts(self, now: float, expected_time: float, *, is_idempotent: bool) -> bool:
+        """Return whether a request is likely to end in time.
+
+        >>> plan_stop(0.0, 6.0).accepts(4.0, 1.0, is_idempotent=True)
+        True
+        >>> plan_stop(0.0, 6.0).accepts(4.0, 1.0, is_idempotent=False)
+        False
+        """
+        ratio = (
+            EXPECTED_TIME_RATIO if is_idempotent else NON_IDEMPOTENT_EXPECTED_TIME_RATIO
+        )
+        return now + ratio * expected_time <= self.answer_by
+
+
+def plan_stop(now: float, stop_time: float) -> PlannedStop:
+    """Return the plan of a stop that begins now and may take `stop_time` (seconds)."""
+    return PlannedStop(
+        listen_until=now + LISTENING_SHARE_OF_STOP_TIME * stop_time,
+        answer_by=now + stop_time - ANSWER_MARGIN_SECONDS,
+        end_by=now + stop_time - END_MARGIN_SECONDS,
+    )
--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+from crocusbay.state import Cause
 from crocusbay.transport.timers import Timer
 from crocusbay_gateway.coordination.context import Context
+from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.state import CallerRequest, Reply
 
 Outcome = TypeVar("Outcome")
@@ -21,6 +23,9 @@
         self._now = context.timers.now
         self._done: asyncio.Future[Outcome]
         self._timers: list[Timer] = []
+        self._planned_stop: PlannedStop | None = None
+        # Why the request is given up if it is still in progress by then.
+        self._give_up_cause = Cause.DEADLINE
 
     async def run(self) -> Reply | None:
         """Return the reply, or None after an interruption.
@@ -49,6 +54,10 @@
         """Stop serving the request; its attempts are cancelled at once."""
         self._finish(_INTERRUPTED)
 
+    def start_leaving(self, planned_stop: PlannedStop) -> None:
+        """Reply by the time at which this host answers what is still in progress."""
+        raise NotImplementedError
+
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that explain how the reply came about."""
         raise NotImplementedError
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -2,10 +2,12 @@
 
 from asyncio import CancelledError
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
+import anyio
 import msgspec
 
-from crocusbay.state import Cause
+from crocusbay.state import Cause, MayHaveRun
 from crocusbay_gateway.coordination.admission import (
     WeightedRoundRobin,
     make_admission_policy,
@@ -21,6 +23,7 @@
     PartialAnswerPolicy,
     min_parts,
 )
+from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.coordination.refusal import make_refusal, reply_to_failure
 from crocusbay_gateway.coordination.relay_server import RelayServer
 from crocusbay_gateway.coordination.request_handler import RequestHandler
@@ -51,6 +54,16 @@
 HANDOVER_TIMEOUT_GOALS = 3.0
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _RunningRequest:
+    """Request in progress at this host's servers; `started_at` is monotonic."""
+
+    handler: RequestHandler
+    route_name: str
+    started_at: float
+    may_hand_over: bool
+
+
 class RequestService:
     """Handle requests according to the configuration in force."""
 
@@ -72,7 +85,9 @@
         self._latency_by_route: dict[str, RouteLatency] = {}
         self._round_robin_by_route: dict[str, WeightedRoundRobin] = {}
         self._handover = handover
-        self._running_handlers: set[RequestHandler] = set()
+        self._running_requests: set[_RunningRequest] = set()
+        self._handover_scopes: set[anyio.CancelScope] = set()
+        self._planned_stop: PlannedStop | None = None
         self.relay_server = RelayServer(context, self.admit_relay)
         self.handover_server = HandoverServer(
             self.handle_handover, context.timers, spawn
@@ -105,9 +120,17 @@
     def hand_over_running(self) -> None:
         """Have other hosts serve the requests for which no server has responded."""
         if self._handover.has_target:
-            for handler in list(self._running_handlers):
-                if handler.may_be_interrupted:
-                    handler.interrupt()
+            for running in list(self._running_requests):
+                if running.may_hand_over and running.handler.may_be_interrupted:
+                    running.handler.interrupt()
+
+    def start_leaving(self, planned_stop: PlannedStop) -> None:
+        """Refuse what would not end before the stop; answer the rest before it."""
+        self._planned_stop = planned_stop
+        for running in self._running_requests:
+            running.handler.start_leaving(planned_stop)
+        for scope in self._handover_scopes:
+            self._context.timers.at(planned_stop.answer_by, scope.cancel)
 
     async def _handle(self, request: CallerRequest, *, may_hand_over: bool) -> Reply:
         self.received_count += 1
@@ -143,12 +166,13 @@
                 cause = Cause.NO_UPSTREAM
                 return make_refusal(cause, self._remaining_time(request))
         handler = self._make_handler(request, route)
-        if may_hand_over:
-            self._running_handlers.add(handler)
+        now = self._context.timers.now()
+        running = _RunningRequest(handler, route.name, now, may_hand_over)
+        self._running_requests.add(running)
         try:
             reply = await handler.run()
         finally:
-            self._running_handlers.discard(handler)
+            self._running_requests.discard(running)
             log_fields.update(handler.log_fields())
         if reply is None:
             return await self._hand_over(request, route, log_fields)
@@ -166,11 +190,17 @@
         self, request: CallerRequest, route: Route, log_fields: dict[str, object]
     ) -> Reply:
         """Return the reply of another host."""
-        result, peer = await self._handover.serve(
-            request,
-            is_idempotent=route.is_idempotent,
-            reply_timeout=HANDOVER_TIMEOUT_GOALS * route.latency_goal,
-        )
+        result, peer = MayHaveRun(Cause.HOST_LEAVING), ""
+        with anyio.CancelScope() as scope:
+            self._handover_scopes.add(scope)
+            try:
+                result, peer = await self._handover.serve(
+                    self._end_before_stop(request),
+                    is_idempotent=route.is_idempotent,
+                    reply_timeout=HANDOVER_TIMEOUT_GOALS * route.latency_goal,
+                )
+            finally:
+                self._handover_scopes.discard(scope)
         log_fields["handed_over_to"] = peer
         if isinstance(result, Reply):
             return result
@@ -179,6 +209,29 @@
             result, route.timeout if remaining_time is None else remaining_time
         )
 
+    def _end_before_stop(self, request: CallerRequest) -> CallerRequest:
+        """Return the request with a deadline before this host stops."""
+        if self._planned_stop is None:
+            return request
+        answer_by = self._planned_stop.answer_by
+        deadline = answer_by if request.deadline is None else request.deadline
+        return replace(request, deadline=min(deadline, answer_by))
+
+    def _ends_before_stop(self, route: Route) -> bool:
+        """Return whether a request is likely to end before this host stops."""
+        if self._planned_stop is None:
+            return True
+        now = self._context.timers.now()
+        ages = [
+            now - running.started_at
+            for running in self._running_requests
+            if running.route_name == route.name
+        ]
+        expected_time = max(self._route_latency(route).expected_time, *ages, 0.0)
+        return self._planned_stop.accepts(
+            now, expected_time, is_idempotent=route.is_idempotent
+        )
+
     def _admit(self, request: CallerRequest) -> tuple[Route | None, Reply | None]:
         """Return the route, if found, and the reply if the request is refused."""
         configuration = self._configuration.configuration
@@ -196,6 +249,10 @@
                     Cause.PLATFORM_UNAVAILABLE, self._remaining_time(request)
                 )
             return None, Reply(STATUS_NOT_FOUND, outcome="no-route")
+        if not self._ends_before_stop(route):
+            return route, make_refusal(
+                Cause.HOST_LEAVING, self._remaining_time(request)
+            )
         if not self._admission.admits(
             self.running_count + self.relay_server.running_count, route.priority
         ):
@@ -227,11 +284,21 @@
 
     def _make_handler(
         self, request: CallerRequest, route: Route
+    ) -> ScatterGatherHandler | ForwardHandler:
+        handler = self._make_handler_of_target(request, route)
+        if self._planned_stop is not None:
+            handler.start_leaving(self._planned_stop)
+        return handler
+
+    def _make_handler_of_target(
+        self, request: CallerRequest, route: Route
     ) -> ScatterGatherHandler | ForwardHandler:
         give_up_at = request.received_at + route.timeout
         if request.deadline is not None:
             give_up_at = min(give_up_at, request.deadline)
         give_up_at -= REPLY_MARGIN_SECONDS
+        if self._planned_stop is not None:
+            give_up_at = min(give_up_at, self._planned_stop.answer_by)
         latency = self._route_latency(route)
         match route.target:
             case ToShards():
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -19,6 +19,7 @@
     Membership,
 )
 from crocusbay_gateway.coordination.peering import Peering
+from crocusbay_gateway.coordination.planned_stop import PlannedStop, plan_stop
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.quarantine_store import QuarantineStore
 from crocusbay_gateway.coordination.registry import Registry
@@ -45,10 +46,6 @@
 
 # Weight of the newest sample, one per heartbeat, in the smoothed load.
 LOAD_SMOOTHING = 0.2
-# Before a stop, the entry addresses that callers have cached must expire; the rest of
-# the time is for requests in flight to finish.
-SERVING_SHARE_OF_STOP_TIME = 0.7
-STOP_MARGIN_SECONDS = 0.5
 STOP_CHECK_INTERVAL_SECONDS = 0.05
 # Callers may use entry addresses for up to three times this lifetime. A short lifetime
 # directs callers away from a leaving host early, and a query costs little.
@@ -95,6 +92,7 @@
         self._load = 0.0
         self._previous_received_count = 0
         self._gather_time = estimate_gather_time(settings.cores, settings.link_mbps)
+        self._planned_stop: PlannedStop
         self._stop_requested = anyio.Event()
         self._has_been_ready = False
 
@@ -110,7 +108,11 @@
         if self.is_leaving:
             return
         self.is_leaving = True
+        self._planned_stop = plan_stop(
+            self.timers.now(), self.settings.bounds.shutdown_timeout
+        )
         self.log.info("leaving", running=self.request_service.running_count)
+        self.request_service.start_leaving(self._planned_stop)
         self.caller_server.start_leaving()
         self.peering.send_heartbeat()
         self._stop_requested.set()
@@ -249,16 +251,19 @@
 
     async def _finish_requests(self) -> None:
         """Serve while callers may use this host; then finish requests in flight."""
-        stop_started_at = self.timers.now()
-        stop_time = self.settings.bounds.shutdown_timeout
-        serve_until = stop_started_at + SERVING_SHARE_OF_STOP_TIME * stop_time
-        finish_by = stop_started_at + stop_time - STOP_MARGIN_SECONDS
-        while self.timers.now() < serve_until:
+        stop = self._planned_stop
+        while self.timers.now() < stop.listen_until:
             await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.caller_server.close()
-        while self._has_requests and self.timers.now() < finish_by:
-            await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
+        await self._wait_for_requests(stop.answer_by)
+        await self._wait_for_requests(stop.end_by)
         self.registry.close()
+        # The last replies to other hosts may still be on their way.
+        await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
+
+    async def _wait_for_requests(self, until: float) -> None:
+        while self._has_requests and self.timers.now() < until:
+            await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
 
     @property
     def _has_requests(self) -> bool:
--- a/packages/standins/crocusbay_standins/emulator/tests/deployment.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/deployment.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from crocusbay_gateway.state import Configuration
 from crocusbay_standins.emulator.hosts import EmulatedHost
 from crocusbay_standins.soak.callers import Caller, RequestKind
 from crocusbay_standins.soak.deployment import PATHS, make_routes, make_services
-from crocusbay_standins.soak.hosts import make_hosts
+from crocusbay_standins.soak.hosts import BOUNDS, make_hosts
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.servers import StandInServer
 from crocusbay_standins.soak.store import StandInStore
@@ -24,9 +25,21 @@
     """
 
     def __init__(
-        self, folder, hosts=3, data_centres=("a", "b"), is_renamed_on_restart=True
+        self,
+        folder,
+        hosts=3,
+        data_centres=("a", "b"),
+        is_renamed_on_restart=True,
+        host_type=EmulatedHost,
+        bounds=BOUNDS,
+        configuration=None,
     ):
         self.folder = folder
+        self.host_type = host_type
+        self.configuration = configuration or Configuration(
+            1, make_routes(0), make_services()
+        )
+        self.bounds = bounds
         self.host_count = hosts
         self.data_centres = list(data_centres)
         self.is_renamed_on_restart = is_renamed_on_restart
@@ -37,7 +50,7 @@
 
     async def start(self):
         address = await self.store.start()
-        self.store.put_configuration(Configuration(1, make_routes(0), make_services()))
+        self.store.put_configuration(self.configuration)
         self.servers = [
             StandInServer(
                 f"{service.name}/{number}",
@@ -53,17 +66,32 @@
         ]
         for server in self.servers:
             await server.start()
-        proxies = [Proxy(address) for _ in range(self.host_count)]
-        for proxy in proxies:
+        self.proxies = [Proxy(address) for _ in range(self.host_count)]
+        for proxy in self.proxies:
             await proxy.start()
         self.hosts = make_hosts(
-            EmulatedHost, self.host_count, self.data_centres, self.folder, proxies, 1
+            self.host_type,
+            self.host_count,
+            self.data_centres,
+            self.folder,
+            self.proxies,
+            1,
         )
         for host in self.hosts:
+            host.settings = replace(host.settings, bounds=self.bounds)
             host.start()
         await asyncio.sleep(STABLE_SECONDS)
         self.caller = self.make_caller()
 
+    def close(self):
+        """Kill the hosts and close everything else, as real processes need."""
+        for host in self.hosts:
+            host.kill()
+        for each in (*self.proxies, self.store):
+            each.close()
+        for server in self.servers:
+            server.crash()
+
     def make_caller(self):
         self._caller_count += 1
         name = f"c{self._caller_count}"
