Answer every request that a leaving host has read, and send it whole

Callers that sent several requests in one write to a host during its planned stop got one answer and a closed connection for the others. A request whose last bytes came just after the host stopped listening was closed; so was an answer that a slow caller had not taken in yet.

Cause: the first reply of a leaving host closed its connection with read requests queued; closing looked only at requests that were being served, not at those queued or half read; and a connection was forgotten as its reply was handed to the transport.

Ruled out: two requests at once at the servers; each connection is served in order.

Change: `Connection: close` comes with the last reply that the connection waits for. A request is in progress from its first byte until its reply has been sent. After the answers to what still runs, the host reads no more and closes what is only half read.

--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -256,6 +256,7 @@
             await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
         self.caller_server.close()
         await self._wait_for_requests(stop.answer_by)
+        self.caller_server.stop_reading()
         await self._wait_for_requests(stop.end_by)
         self.registry.close()
         # The last replies to other hosts may still be on their way.
--- a/packages/gateway/crocusbay_gateway/transport/caller_server.py
+++ b/packages/gateway/crocusbay_gateway/transport/caller_server.py
@@ -50,14 +50,18 @@
         self.limits = limits
         self.on_rejected = on_rejected
         self.is_leaving = False
+        self.has_stopped_reading = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server
         self._tasks: anyio.abc.TaskGroup
 
     @property
     def requests_in_progress(self) -> int:
-        """Return the number of requests in progress, at most one per connection."""
-        return sum(connection.is_busy for connection in self.connections)
+        """Return the number of requests in progress, at most one per connection.
+
+        A request is in progress from its first byte until its reply has been sent.
+        """
+        return sum(connection.is_in_use for connection in self.connections)
 
     async def start(self, address: str, tasks: anyio.abc.TaskGroup) -> None:
         """Listen on ip:port and run connections in the task group; raise OSError."""
@@ -85,16 +89,22 @@
         self._tasks.start_soon(connection.run)
 
     def start_leaving(self) -> None:
-        """Send `Connection: close` with every further reply."""
+        """Send `Connection: close` with the last reply on each connection."""
         self.is_leaving = True
 
     def close(self) -> None:
         """Stop listening and close the connections without a request in progress."""
         self._server.close()
         for connection in list(self.connections):
-            if not connection.is_busy:
+            if not connection.is_in_use:
                 connection.close()
 
+    def stop_reading(self) -> None:
+        """Read no further requests; close the connections without a complete one."""
+        self.has_stopped_reading = True
+        for connection in list(self.connections):
+            connection.stop_reading()
+
 
 class CallerConnection(asyncio.Protocol):
     """Parse requests from one connection and reply to them in order."""
@@ -146,12 +156,26 @@
         if len(self._requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a request or its reply is under way on the connection."""
+        return (
+            self.is_busy
+            or bool(self._requests)
+            or self._is_receiving
+            or self._transport.is_closing()
+        )
+
     def eof_received(self) -> None:
         """Treat end of stream as a disconnected caller (called by the event loop)."""
-        self.connection_lost(None)
+        self._cancel_request()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress (called by the event loop)."""
+        self._server.connections.discard(self)
+        self._cancel_request()
+
+    def _cancel_request(self) -> None:
         if self._is_closed:
             return
         self._is_closed = True
@@ -165,6 +189,14 @@
         self._transport.close()
         self._wake.set()
 
+    def stop_reading(self) -> None:
+        """Read no further requests, and close the connection if none is in progress."""
+        self._is_receiving = False
+        if not self.is_in_use:
+            self.close()
+        elif not self._transport.is_closing():
+            self._transport.pause_reading()
+
     async def run(self) -> None:
         """Serve queued requests in order until the connection is closed."""
         try:
@@ -176,7 +208,6 @@
                 await self._serve(*self._requests.popleft())
         finally:
             self._stop_timer()
-            self._server.connections.discard(self)
             self._transport.close()
 
     async def _serve(self, queued: CallerRequest | Reply, keeps_alive: bool) -> None:
@@ -192,9 +223,10 @@
         self.is_busy = False
         if reply is None or self._is_closed:
             return
-        is_last = self._server.is_leaving or not keeps_alive
+        is_last = not keeps_alive or (self._server.is_leaving and not self._requests)
         self._write(reply, is_head=queued.method == "HEAD", is_last=is_last)
-        if len(self._requests) < MAX_QUEUED_REQUESTS and not self._is_closed:
+        has_room = len(self._requests) < MAX_QUEUED_REQUESTS
+        if has_room and not (self._is_closed or self._server.has_stopped_reading):
             self._transport.resume_reading()
         self._start_timeout(self._server.limits().idle_timeout)
 
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
@@ -16,12 +16,15 @@
 )
 GET = b"GET /x?q=1 HTTP/1.1\r\nHost: h\r\nX-Attempt: a1\r\nX-Deadline: 500\r\n\r\n"
 TIMEOUT_SECONDS = 10.0
+# More than the buffers of both sockets hold.
+LARGE_REPLY_BYTES = 16 * 1024 * 1024
 
 
 class BlockingHandler:
     def __init__(self):
         self.requests = []
         self.cancelled = 0
+        self.body = b"hello"
         self.release = anyio.Event()
         self.release.set()
 
@@ -32,7 +35,7 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return Reply(200, body=request.body or b"hello")
+        return Reply(200, body=request.body or self.body)
 
 
 @asynccontextmanager
@@ -142,9 +145,75 @@
                 await asyncio.sleep(0)
 
 
-async def test_leaving_host_replies_with_connection_close():
+@pytest.mark.parametrize("count", [1, 3])
+async def test_leaving_host_replies_with_connection_close(count):
+    """Send requests in one write; each is read, so each is answered."""
     async with open_server() as (handler, server):
         server.start_leaving()
-        received = await send_and_receive(server, GET)
-        assert received.startswith(b"HTTP/1.1 200 OK\r\n")
-        assert b"Connection: close" in received
+        received = await send_and_receive(server, count * GET)
+        assert received.count(b"HTTP/1.1 200 OK\r\n") == count
+        *_, last = received.split(b"HTTP/1.1 200 OK\r\n")
+        assert received.count(b"Connection: close") == 1
+        assert b"Connection: close" in last
+
+
+async def wait_until(condition):
+    with anyio.fail_after(TIMEOUT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("read_bytes", [10, len(GET) - 1, len(GET), len(GET) + 10])
+async def test_request_under_way_when_the_host_stops_listening_is_answered(read_bytes):
+    async with open_server() as (handler, server):
+        ip, port = server.address.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        handler.release = anyio.Event()
+        writer.write((2 * GET)[:read_bytes])
+        await wait_until(lambda: server.requests_in_progress)
+        server.start_leaving()
+        server.close()
+        writer.write(GET[read_bytes:])
+        await wait_until(lambda: handler.requests)
+        handler.release.set()
+        received = await reader.read(-1)
+        assert received.count(b"HTTP/1.1 200 OK\r\n") == 1
+        await wait_until(lambda: not server.requests_in_progress)
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "replies"), [(b"", 0), (GET[:-1], 0), (GET, 1), (2 * GET, 2)]
+)
+async def test_host_that_ends_answers_what_it_has_read(data, replies):
+    async with open_server() as (handler, server):
+        ip, port = server.address.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        handler.release = anyio.Event()
+        writer.write(data)
+        await wait_until(lambda: server.connections)
+        await wait_until(lambda: server.requests_in_progress or not data)
+        server.start_leaving()
+        server.stop_reading()
+        handler.release.set()
+        received = await reader.read(-1)
+        assert received.count(b"HTTP/1.1 200 OK\r\n") == replies
+        await wait_until(lambda: not server.requests_in_progress)
+        writer.close()
+
+
+async def test_request_is_in_progress_until_its_reply_is_sent():
+    async with open_server() as (handler, server):
+        handler.body = bytes(LARGE_REPLY_BYTES)
+        server.start_leaving()
+        ip, port = server.address.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+        writer.write(GET)
+        await wait_until(lambda: handler.requests)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert server.requests_in_progress == 1
+        received = await reader.read(-1)
+        assert received.endswith(handler.body)
+        await wait_until(lambda: not server.requests_in_progress)
+        writer.close()
--- a/packages/standins/crocusbay_standins/emulator/tests/stop.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/stop.py
@@ -51,7 +51,7 @@
 class Sent:
     """Request, when its last byte was sent (after the signal), and its status.
 
-    `took` is the time from then, or from the reply before on the same connection.
+    `took` is the time from then, for a reply that follows another one from that.
     """
 
     attempt_id: str
@@ -90,15 +90,15 @@
         ]
         self.sent += requests
         data = b"".join(_encode(each) for each in requests)
-        waits_since = self._now()
+        sent_at = waits_since = self._now()
         try:
             if body_delay:
                 stream[1].write(data[:-1])
                 await asyncio.sleep(body_delay)
                 data = data[-1:]
-            waits_since = self._now()
+            sent_at = waits_since = self._now()
             for each in requests:
-                each.after = waits_since - self.stopped_at
+                each.after = sent_at - self.stopped_at
             stream[1].write(data)
             for each in requests:
                 _, status, each.headers, _ = await read_message(stream[0])
@@ -108,7 +108,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             for each in requests:
                 if each.status == CLOSED:
-                    each.took = self._now() - waits_since
+                    each.took = self._now() - sent_at
         stream[1].close()
 
 
--- a/packages/standins/crocusbay_standins/emulator/tests/test_planned_stop.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_planned_stop.py
@@ -43,6 +43,10 @@
         await caller.send(stream, kind)
 
 
+async def pipelined(caller, kind, after, stream):
+    await caller.send(stream, kind, count=3)
+
+
 async def in_two_parts(caller, kind, after, stream):
     await caller.send(stream, kind, body_delay=0.1)
 
@@ -87,7 +91,7 @@
 
 @pytest.mark.parametrize("kind", SERVING_KINDS)
 @pytest.mark.parametrize("work", WORK_SECONDS)
-@pytest.mark.parametrize("send", [on_kept, on_new, in_two_parts])
+@pytest.mark.parametrize("send", [on_kept, on_new, pipelined, in_two_parts])
 @pytest.mark.parametrize("times", [times_between(0.1, 6.2), CLOSE_TIMES])
 def test_requests_during_a_planned_stop_are_answered(
     loop, tmp_path, monkeypatch, kind, work, send, times
--- a/packages/standins/crocusbay_standins/soak/tests/test_planned_stop.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_planned_stop.py
@@ -43,8 +43,9 @@
         stream[1].close()
         stream = await caller.connect()
     if stream is not None:
+        count = rng.choice([1, 1, 3])
         delay = rng.choice([0.0, 0.0, 0.05])
-        await caller.send(stream, rng.choice(SERVING_KINDS), body_delay=delay)
+        await caller.send(stream, rng.choice(SERVING_KINDS), count, delay)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -72,6 +73,7 @@
             deployment.received_requests.clear()
             times = [rng.uniform(0.0, BOUNDS.shutdown_timeout) for _ in range(REQUESTS)]
             streams = [await caller.connect() for _ in times]
+            caller.stopped_at = asyncio.get_running_loop().time()
             async with asyncio.TaskGroup() as tasks:
                 for after, stream in zip(times, streams, strict=True):
                     tasks.create_task(send_in_some_way(caller, rng, after, stream))
