Let parts that a leaving host gathers for others end before its stop

A gather at another host got 502, or fewer parts, if its relay stopped as planned while the parts were under way: those parts count as sent, and only a repeat can replace them.

Cause: a stop waited for requests of callers and for those handed over, not for queries of other hosts; and queries were taken to the end by hosts that had not heard of the stop.

Change: the stop waits for them too, and refuses those that would not end before it as not sent, so that the asking host sends the parts itself without a repeat. The refusal says `no-connection`, a cause that older hosts know and that says nothing about the server.

--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -276,6 +276,8 @@
         route = configuration and configuration.find_route(query.host, path)
         if route is None or not isinstance(route.target, ToShards):
             return Cause.NO_UPSTREAM
+        if not self._ends_before_stop(route):
+            return Cause.NO_CONNECTION
         if not self._admission.admits(
             self.running_count + self.relay_server.running_count, route.priority
         ):
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -272,6 +272,7 @@
         return bool(
             self.caller_server.requests_in_progress
             or self.request_service.running_count
+            or self.request_service.relay_server.running_count
         )
 
     def _limits(self) -> Limits:
--- a/packages/standins/crocusbay_standins/emulator/tests/test_planned_stop.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_planned_stop.py
@@ -4,19 +4,24 @@
 
 import pytest
 
+from crocusbay.state import Cause
+from crocusbay_gateway.protocol import RelayQuery
 from crocusbay_standins.emulator.tests.deployment import STABLE_SECONDS, Deployment
 from crocusbay_standins.emulator.tests.stop import (
     GRACE_SECONDS,
     MAY_HAVE_RUN,
     STOP_BOUNDS,
     STOP_CONFIGURATION,
+    TIMEOUT_SECONDS,
     SteadyRandom,
     StopCaller,
+    replace_routes,
     stop_as_planned,
     wrong_ends,
 )
 from crocusbay_standins.soak import servers as servers_module
 from crocusbay_standins.soak.callers import RequestKind
+from crocusbay_standins.soak.deployment import PATHS
 from crocusbay_standins.soak.servers import SERVERS_IP
 
 SERVING_KINDS = [RequestKind.GATHER, RequestKind.FETCH, RequestKind.ORDER]
@@ -172,3 +177,55 @@
         assert caller.sent
 
     loop.run_until_complete(main())
+
+
+def test_parts_gathered_for_another_host_are_not_cut(loop, tmp_path, monkeypatch):
+    """Stop a relay while parts are under way that may not be requested again."""
+
+    async def main():
+        configuration = replace_routes(
+            STOP_CONFIGURATION, max_attempts=1, latency_goal=TIMEOUT_SECONDS
+        )
+        deployment, _ = await start(
+            tmp_path,
+            monkeypatch,
+            0.02,
+            data_centres=("a", "b", "c"),
+            configuration=configuration,
+        )
+        relay, _, gathering = deployment.hosts
+        caller = StopCaller(gathering)
+        for _ in range(3):
+            await caller.send(await caller.connect(), RequestKind.GATHER)
+        set_work(deployment, 4.9)
+        caller.sent.clear()
+        await stop_under_requests(
+            caller, RequestKind.GATHER, on_kept, [-0.2], 1.0, relay
+        )
+        (sent,) = caller.sent
+        assert sent.status == 200
+        assert sent.headers[b"missing-parts"] == b"0"
+        assert sum(relay.gateway.metrics.attempts.by_labels.values()) > 0
+
+    loop.run_until_complete(main())
+
+
+@pytest.mark.parametrize(("after", "is_accepted"), [(0.1, True), (5.4, False)])
+def test_relay_refuses_what_would_not_end_before_its_stop(
+    loop, tmp_path, monkeypatch, after, is_accepted
+):
+    """Simulate a host that has not heard that the relay leaves."""
+
+    async def main():
+        deployment, _ = await start(tmp_path, monkeypatch, 0.02)
+        gateway = deployment.hosts[0].gateway
+        gateway.start_leaving()
+        await asyncio.sleep(after)
+        target = f"{PATHS[RequestKind.GATHER]}x"
+        query = RelayQuery(
+            1, "a1", "GET", target, "soak.example", (), b"", 2.0, 0.1, 20, ()
+        )
+        admitted = gateway.request_service.admit_relay(query)
+        assert (admitted != Cause.NO_CONNECTION) is is_accepted
+
+    loop.run_until_complete(main())
