--- a/packages/standins/crocusbay_standins/emulator/tests/deployment.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from crocusbay_gateway.state import Configuration
 from crocusbay_standins.emulator.hosts import EmulatedHost
@@ -12,7 +13,7 @@
     make_routes,
     make_services,
 )
-from crocusbay_standins.soak.hosts import make_hosts
+from crocusbay_standins.soak.hosts import BOUNDS, make_hosts
 from crocusbay_standins.soak.proxy import Proxy
 from crocusbay_standins.soak.servers import StandInServer
 from crocusbay_standins.soak.store import StandInStore
@@ -37,12 +38,19 @@
         shards=SHARDS,
         servers_per_service=SERVERS_PER_SERVICE,
         server_type=StandInServer,
+        host_type=EmulatedHost,
+        bounds=BOUNDS,
+        configuration=None,
     ):
         self.folder = folder
+        self.host_type = host_type
+        self.configuration = configuration or Configuration(
+            1, make_routes(0, shards), make_services(shards)
+        )
+        self.bounds = bounds
         self.host_count = hosts
         self.data_centres = list(data_centres)
         self.is_renamed_on_restart = is_renamed_on_restart
-        self.shards = shards
         self.servers_per_service = servers_per_service
         self.server_type = server_type
         self.store = StandInStore(random.Random(1))
@@ -52,10 +60,7 @@
 
     async def start(self):
         address = await self.store.start()
-        services = make_services(self.shards)
-        self.store.put_configuration(
-            Configuration(1, make_routes(0, self.shards), services)
-        )
+        self.store.put_configuration(self.configuration)
         self.servers = [
             self.server_type(
                 f"{service.name}/{number}",
@@ -68,22 +73,37 @@
                 random.Random(f"{service.name} {number}"),
                 is_renamed_on_restart=self.is_renamed_on_restart,
             )
-            for index, service in enumerate(services)
+            for index, service in enumerate(self.configuration.services)
             for number in range(self.servers_per_service)
         ]
         for server in self.servers:
             await server.start()
-        proxies = [Proxy(address) for _ in range(self.host_count)]
-        for proxy in proxies:
+        self.proxies = [Proxy(address) for _ in range(self.host_count)]
+        for proxy in self.proxies:
             await proxy.start()
         self.hosts = make_hosts(
-            EmulatedHost, self.host_count, self.data_centres, self.folder, proxies, 1
+            self.host_type,
+            self.host_count,
+            self.data_centres,
+            self.folder,
+            self.proxies,
+            1,
         )
         for host in self.hosts:
+            host.settings = replace(host.settings, bounds=self.bounds)
             host.start()
         await asyncio.sleep(STABLE_SECONDS)
         self.caller = self.make_caller()
 
+    def close(self):
+        """Kill the hosts and close everything else, as real processes need."""
+        for host in self.hosts:
+            host.kill()
+        for each in (*self.proxies, self.store):
+            each.close()
+        for server in self.servers:
+            server.crash()
+
     def make_caller(self):
         self._caller_count += 1
         name = f"c{self._caller_count}"
