Cancel attempts of interrupted requests before the task resumes

Seen in review: an order that waits for a connection when its host finds itself cut off may run on a server of this host and again through the host that it is handed over to.

Cause: `interrupt` only set the outcome; unsent attempts were cancelled when the task resumed. A connection that opened in between sent the order, which then was no longer unsent, so that it went on, and the order was handed over all the same. Ruled out: give-ups, which queued requests share their deadline with, and late attempts, which are cancelled in the same step.

Change: `interrupt` cancels the attempts itself.

--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -46,7 +46,13 @@
         raise NotImplementedError
 
     def interrupt(self) -> None:
-        """Stop serving the request; its attempts are cancelled at once."""
+        """Stop serving the request; its attempts are cancelled at once.
+
+        One that waits for a connection must not be sent before the task resumes.
+        """
+        if self._is_done:
+            return
+        self._abandon_attempts(immediately=True)
         self._finish(_INTERRUPTED)
 
     def log_fields(self) -> dict[str, object]:
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_forward.py
@@ -134,3 +134,20 @@
     reply, elapsed = await run_to_completion(gateway, make_handler(gateway, route))
     assert reply.status == 200
     assert elapsed < route.latency_goal
+
+
+@pytest.mark.parametrize("kind", list(RouteKind))
+async def test_interrupted_request_that_waits_for_a_connection_is_not_sent(kind):
+    gateway = SimulatedGateway(SERVERS)
+    for name in gateway.pool_by_server:
+        gateway.set_script(name, verdict="no-connection")
+    handler = make_handler(gateway, make_route(ToService("s"), kind=kind))
+    task = asyncio.ensure_future(handler.run())
+    await run_ready_tasks()
+    (exchange,) = [each for p in gateway.pool_by_server.values() for each in p.received]
+    assert handler.may_be_interrupted
+    handler.interrupt()
+    # A connection opens before the task resumes; the pool sends what is not done.
+    exchange.is_sent = not exchange.is_done
+    assert await task is None
+    assert not exchange.is_sent
