Repeat a rejected order on another connection

Seen in review: an order that its server rejects and that goes to the same server again, as where all others rejected it too, was sent on the same connection. A server may send a second response late; a duplicate of the rejection bears the same attempt ID, so it was taken for the answer to the repeat, which runs: a third send, or a 503 for an order that has run.

Cause: responses are told apart by the attempt ID, which repeats share. Ruled out: duplicates that come with the first response (the connection is closed), or during another request or without a request (mismatch).

Change: a connection does not carry an exchange that must not be sent twice if its last one had the same ID; a new connection is opened. Idempotent requests still reuse it, as a repeat costs them nothing.

Not known: whether servers of the platform ever send a rejection twice.

--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -39,7 +39,8 @@
 
     The response must echo `attempt_id` unless that is empty. Times are on the monotonic
     clock (seconds). With `needs_fresh_connection`, the request is sent only on a new or
-    recently used connection because it must not be sent twice.
+    recently used connection because it must not be sent twice, and not on one on which
+    it was rejected.
     """
 
     __slots__ = (
@@ -120,6 +121,7 @@
     ) -> None:
         self.current_exchange: Exchange | None = None
         self.last_used_at = now()
+        self.last_attempt_id = b""
         self.response_count = 0
         self.idle_timeout: float | None = None
         self.is_closed = False
@@ -150,6 +152,17 @@
             self.timer.cancel()
             self.timer = None
 
+    def may_carry(self, exchange: Exchange) -> bool:
+        """Return whether responses to the exchange are told from earlier ones.
+
+        The server may respond twice to an attempt, and the second response may arrive
+        once the attempt is repeated.
+        """
+        return (
+            not exchange.needs_fresh_connection
+            or exchange.attempt_id != self.last_attempt_id
+        )
+
     def send(self, exchange: Exchange) -> None:
         """Send the request of an exchange."""
         self.current_exchange = exchange
@@ -335,6 +348,7 @@
         )
         must_close = self._must_close or self._has_extra_data
         self.current_exchange = None
+        self.last_attempt_id = exchange.attempt_id
         self.last_used_at = self._now()
         self.response_count += 1
         self._reset_message()
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -102,7 +102,7 @@
         if self._is_closed:
             exchange.finish(NotRun(Cause.LEAVING))
             return
-        connection = self._pop_idle(exchange.needs_fresh_connection)
+        connection = self._pop_idle(exchange)
         if connection is not None:
             self._send(connection, exchange)
             return
@@ -158,16 +158,20 @@
         for connection in list(self._idle):
             connection.close()
 
-    def _pop_idle(self, needs_fresh_connection: bool) -> ServerConnection | None:
+    def _pop_idle(self, exchange: Exchange) -> ServerConnection | None:
         now = self._timers.now()
         while self._idle:
             connection = self._idle.pop()
             max_idle = connection.idle_timeout
             max_idle = DEFAULT_IDLE_SECONDS if max_idle is None else max_idle
             max_idle -= IDLE_MARGIN_SECONDS
-            if needs_fresh_connection:
+            if exchange.needs_fresh_connection:
                 max_idle = min(max_idle, FRESH_IDLE_SECONDS)
-            if not connection.is_closed and now - connection.last_used_at < max_idle:
+            if (
+                not connection.is_closed
+                and now - connection.last_used_at < max_idle
+                and connection.may_carry(exchange)
+            ):
                 return connection
             connection.close()
         return None
@@ -236,6 +240,10 @@
             if exchange.deadline <= self._timers.now():
                 exchange.finish(NotRun(Cause.DEADLINE))
                 continue
+            if not connection.may_carry(exchange):
+                self._queue.appendleft(exchange)
+                connection.close()
+                return
             self._send(connection, exchange)
             return
         if self._is_closed or len(self._open) > self.connection_limit:
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
@@ -3,7 +3,7 @@
 
 from crocusbay.state import Cause, MayHaveRun, NotRun, Ran
 from crocusbay_gateway.state import ServerStatement
-from crocusbay_gateway.transport import Listening
+from crocusbay_gateway.transport import Exchange, Listening
 from crocusbay_gateway.transport.tests.scripted import (
     END,
     RESET,
@@ -96,6 +96,43 @@
         assert verdict == MayHaveRun(Cause.RESPONSE_MISMATCH)
 
 
+@pytest.mark.parametrize("is_sent_at_once", [True, False])
+async def test_order_is_sent_again_on_another_connection(is_sent_at_once):
+    """A duplicate of the first rejection would bear the same attempt ID."""
+    rejection = (
+        b"HTTP/1.1 503 X\r\nX-Attempt: a1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    scripts = [(rejection,), (ok_response(),)]
+    async with open_pool(*scripts, connection_limit=1) as (server, pool, timers):
+        verdicts = []
+
+        def send(deliver):
+            data = b"POST / HTTP/1.1\r\nHost: h\r\n\r\n"
+            deadline = timers.now() + TIMEOUT_SECONDS
+            pool.submit(
+                Exchange(b"a1", data, deadline, deliver, needs_fresh_connection=True)
+            )
+
+        def deliver_first(exchange, verdict):
+            verdicts.append(verdict)
+            if is_sent_at_once:
+                send(deliver_last)
+
+        def deliver_last(exchange, verdict):
+            verdicts.append(verdict)
+
+        send(deliver_first)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not verdicts:
+                await anyio.sleep(0.01)
+            if not is_sent_at_once:
+                send(deliver_last)
+            while len(verdicts) < 2:
+                await anyio.sleep(0.01)
+        assert [verdict.response.status for verdict in verdicts] == [503, 200]
+        assert server.connections == 2
+
+
 async def test_unresponsive_server_times_out_at_the_deadline():
     async with open_pool(()) as (_, pool, timers):
         assert await send_request(pool, timers, seconds=0.05) == MayHaveRun(
