Check the address of an ended server beside its open connections

Seen in review: with one connection per server, as on the grown site, the check that follows the end of an entry never looks at the address. The connection of the request in progress counts as the one that is allowed, so the server counts as listening, and the crash is found only at the deadline, or not at all if the attempt is cancelled before.

Cause: a pool with as many connections as it may open is not checked, closed or not. Ruled out: resets, whose connection is closed before the check.

Before: the new test got "accepted" for an address at which nothing listens; now "refused". One connection more for each request in progress at a server whose entry ends without leaving.

--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -115,7 +115,8 @@
     def check_listening(self, on_result: Callable[[Listening], None]) -> None:
         """Report whether a server accepts a connection, which may then be used.
 
-        A server with as many connections as this host may open counts as listening.
+        A server that is in use, with as many connections as this host may open, counts
+        as listening.
         """
         self._timers.at(
             self._timers.now() + CHECK_DELAY_SECONDS,
@@ -123,7 +124,7 @@
         )
 
     def _check_listening(self, on_result: Callable[[Listening], None]) -> None:
-        if len(self._open) >= self.connection_limit:
+        if not self._is_closed and len(self._open) >= self.connection_limit:
             on_result(Listening.ACCEPTED)
         else:
             self.probe(on_result)
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_connection.py
@@ -169,6 +169,27 @@
         assert results == [expected]
 
 
+async def test_check_of_a_server_that_is_no_longer_used_ignores_open_connections():
+    """The connection of a request in progress shows no more than that it is silent."""
+    async with open_pool((), connection_limit=1) as (server, pool, timers):
+        results = []
+        data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        deadline = timers.now() + TIMEOUT_SECONDS
+        pool.submit(Exchange(b"a1", data, deadline, lambda exchange, verdict: None))
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not server.requests:
+                await anyio.sleep(0.01)
+            pool.check_listening(results.append)
+            while not results:
+                await anyio.sleep(0.01)
+            pool.address = "127.0.0.1:1"
+            pool.close()
+            pool.check_listening(results.append)
+            while len(results) < 2:
+                await anyio.sleep(0.01)
+    assert results == [Listening.ACCEPTED, Listening.REFUSED]
+
+
 @pytest.mark.parametrize(
     ("response", "stated"),
     [
