Count silent crashes under requests whose callers leave

Seen in the emulator: callers that leave 0.3 s after sending copies of a request that ends each server in silence had it sent on for good.

Cause: an attempt that is cancelled at once, as when the caller leaves or the request is handed over, gets no verdict, so the silence of its server counted for nothing, and its listener was removed before the entry ended. Ruled out: orders, which run on when the caller leaves, and hedges that lost, whose grace period ends with a check.

Change: an attempt that is cancelled at once, later than the time after which it is late, counts as silent: the end of the entry makes it a crash. One that is not late yet counts for nothing, so that callers in a hurry don't quarantine requests beside many servers that end.

Callers that leave before the attempt is late are not covered.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -215,6 +215,9 @@
         channel = exchange.channel
         is_running = channel is not None and channel.current_exchange is exchange
         if immediately or not is_running:
+            if is_running and now - exchange.sent_at >= self._latency.hedge_delay:
+                # The server may have crashed in silence, which no verdict will show.
+                self._observe_crash(MayHaveRun(Cause.SILENT))
             self._cancel()
             return
         # The attempt counts towards the server's load until it ends or is cancelled.
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
@@ -137,6 +137,33 @@
     assert has_crash(gateway, request) == is_crash_at_end
 
 
+@pytest.mark.parametrize(
+    ("age", "changes", "is_crash"),
+    [
+        # The response was due, and the server may have crashed in silence.
+        (0.3, [], False),
+        (0.3, [remove], True),
+        (0.3, [restart], True),
+        (0.3, [drain, remove], False),
+        # A request that is not late says nothing of a server that ends later.
+        (0.01, [remove], False),
+    ],
+)
+async def test_silent_crash_counts_though_the_caller_leaves(age, changes, is_crash):
+    gateway = SimulatedGateway({"s": [("s-1", "a")]})
+    gateway.set_script("s-1", verdict=None)
+    request = make_request(gateway, deadline=5.0)
+    task = asyncio.ensure_future(make_handler(gateway, request, 1).run())
+    await gateway.timers.advance(age)
+    task.cancel()
+    await gateway.timers.advance(1.0)
+    assert task.cancelled()
+    (server,) = gateway.registry.by_service["s"]
+    for change in changes:
+        gateway.registry.apply_entries([change(server.entry)])
+    assert has_crash(gateway, request) == is_crash
+
+
 async def test_response_of_another_server_clears_a_crash():
     gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
     first = gateway.registry.choose_server("s").entry.name
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
@@ -1,6 +1,7 @@
 """A crash counts against a request, however and whenever its signs come."""
 
 import asyncio
+import contextlib
 import random
 
 import pytest
@@ -19,6 +20,8 @@
 COPY_INTERVAL_SECONDS = 1.5
 # A host that sent a copy is killed so long after its reply.
 KILL_DELAY_SECONDS = 0.03
+# A caller that leaves waits so long for a reply.
+PATIENCE_SECONDS = 0.3
 
 
 class CrashingDeployment(Deployment):
@@ -159,6 +162,30 @@
     loop.run_until_complete(main())
 
 
+@pytest.mark.parametrize("lease", [0.5, 3.6])
+@pytest.mark.parametrize("target", [GATHER, FETCH])
+def test_silent_crash_counts_if_the_caller_leaves(loop, tmp_path, target, lease):
+    async def main():
+        deployment = CrashingDeployment(tmp_path, target, CrashMode.SILENT, lease)
+        await deployment.start()
+        for number in range(COPIES):
+            host = deployment.hosts[number % len(deployment.hosts)]
+            caller = deployment.make_caller()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PATIENCE_SECONDS):
+                    await caller.send_request(
+                        host.settings.caller_address, RequestKind.CRASHING, target
+                    )
+            caller.close()
+            await asyncio.sleep(COPY_INTERVAL_SECONDS)
+        # A caller that left has no outcome.
+        runs = sorted(each.received_at for each in deployment.received_requests)
+        stable_at = runs[CRASHES_TO_QUARANTINE - 1] + STABLE_SECONDS
+        assert sum(at > stable_at for at in runs) <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
 @pytest.mark.parametrize("target", [FETCH, ORDER])
 def test_crashes_count_that_hosts_saw_while_they_were_cut_off(loop, tmp_path, target):
     """Each of three hosts sees a crash while no other host hears from it."""
