--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -102,7 +102,7 @@
         if self._is_closed:
             exchange.finish(NotRun(Cause.LEAVING))
             return
-        connection = self._pop_idle(exchange.needs_fresh_connection)
+        connection = self._pop_idle(exchange)
         if connection is not None:
             self._send(connection, exchange)
             return
@@ -115,7 +115,8 @@
     def check_listening(self, on_result: Callable[[Listening], None]) -> None:
         """Report whether a server accepts a connection, which may then be used.
 
-        A server with as many connections as this host may open counts as listening.
+        A server that is in use, with as many connections as this host may open, counts
+        as listening.
         """
         self._timers.at(
             self._timers.now() + CHECK_DELAY_SECONDS,
@@ -123,7 +124,7 @@
         )
 
     def _check_listening(self, on_result: Callable[[Listening], None]) -> None:
-        if len(self._open) >= self.connection_limit:
+        if not self._is_closed and len(self._open) >= self.connection_limit:
             on_result(Listening.ACCEPTED)
         else:
             self.probe(on_result)
@@ -158,16 +159,20 @@
         for connection in list(self._idle):
             connection.close()
 
-    def _pop_idle(self, needs_fresh_connection: bool) -> ServerConnection | None:
+    def _pop_idle(self, exchange: Exchange) -> ServerConnection | None:
         now = self._timers.now()
         while self._idle:
             connection = self._idle.pop()
             max_idle = connection.idle_timeout
             max_idle = DEFAULT_IDLE_SECONDS if max_idle is None else max_idle
             max_idle -= IDLE_MARGIN_SECONDS
-            if needs_fresh_connection:
+            if exchange.needs_fresh_connection:
                 max_idle = min(max_idle, FRESH_IDLE_SECONDS)
-            if not connection.is_closed and now - connection.last_used_at < max_idle:
+            if (
+                not connection.is_closed
+                and now - connection.last_used_at < max_idle
+                and connection.may_carry(exchange)
+            ):
                 return connection
             connection.close()
         return None
@@ -236,6 +241,10 @@
             if exchange.deadline <= self._timers.now():
                 exchange.finish(NotRun(Cause.DEADLINE))
                 continue
+            if not connection.may_carry(exchange):
+                self._queue.appendleft(exchange)
+                connection.close()
+                return
             self._send(connection, exchange)
             return
         if self._is_closed or len(self._open) > self.connection_limit:
