Ping a server that reset a connection before it gets a request on a new one

Cause: a server that stops closes its connections before its listener. A request sent on a connection that the system still accepts in between is reset, which counts as a crash by that request: the retry is deferred, and taken from the budget, which the test had emptied. If the estimates prefer the lost copies, all sub-requests are reset, and an innocent search is quarantined for 120 s. The listed test waited for the closed connections only.

A stall of the process beyond the deadline of 5 s would still end it, as it must.

Change: after a reset, the first request on a new connection waits for a ping on it. If the connection ends first, the request was not sent: it is not suspected and goes elsewhere without budget. A response on any connection of the server ends this.

--- a/packages/core/crocusbay/transport/pool.py
+++ b/packages/core/crocusbay/transport/pool.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 
 import anyio
 
@@ -24,6 +25,7 @@
 PING_AFTER_IDLE_SECONDS = 1.0
 PING_DEADLINE_SECONDS = 0.06
 PING_GRACE_SECONDS = 0.02
+RECONNECT_PING_DEADLINE_SECONDS = 1.0
 PING_TARGET = "/health"
 
 
@@ -51,6 +53,7 @@
         self._connections: set[UpstreamConnection] = set()
         self._connecting = 0
         self._connect_after = 0.0
+        self._is_reset = False
         self._closed = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -166,7 +169,9 @@
         is_recently_used = (
             self._timers.now() - connection.last_response_at < PING_AFTER_IDLE_SECONDS
         )
-        if not exchange.sub_request.is_idempotent and not is_recently_used:
+        if self._is_reset and connection.response_count == 0:
+            exchange = self._make_reconnect_ping(connection, exchange)
+        elif not exchange.sub_request.is_idempotent and not is_recently_used:
             exchange = self._make_ping(exchange)
         connection.current_exchange = exchange
         self._write(connection, exchange)
@@ -182,16 +187,43 @@
             if not isinstance(verdict, Ran):
                 self._dispatch()
 
-        self.pings += 1
         pinged_at = self._timers.now()
+        return self._create_ping(deferred, PING_DEADLINE_SECONDS, on_ping_verdict)
+
+    def _make_reconnect_ping(
+        self, connection: UpstreamConnection, deferred: Exchange
+    ) -> Exchange:
+        """Return a ping for a new connection to a server that reset the last one.
+
+        A server that is stopping may reset this one as well, and a request on it would
+        be suspected of having crashed the server.
+        """
+
+        def on_ping_verdict(_: Exchange, verdict: Verdict) -> None:
+            if connection.is_closing:
+                deferred.finish(NotRun(Cause.CONNECT_FAILED))
+            else:
+                self._queue.appendleft(deferred)
+
+        return self._create_ping(
+            deferred, RECONNECT_PING_DEADLINE_SECONDS, on_ping_verdict
+        )
+
+    def _create_ping(
+        self,
+        deferred: Exchange,
+        seconds: float,
+        on_verdict: Callable[[Exchange, Verdict], None],
+    ) -> Exchange:
+        self.pings += 1
         sub_request = SubRequest(
             f"{deferred.sub_request.request_id}.ping",
             "GET",
             PING_TARGET,
-            pinged_at + PING_DEADLINE_SECONDS,
+            self._timers.now() + seconds,
             grace=PING_GRACE_SECONDS,
         )
-        ping = Exchange(sub_request, on_ping_verdict)
+        ping = Exchange(sub_request, on_verdict)
         self.close_when_overdue(ping)
         return ping
 
@@ -223,6 +255,8 @@
             self._connecting -= 1
             self._connect_after = self._timers.now() + CONNECT_RETRY_DELAY_SECONDS
             self._fail_unconnected(failure)
+        elif connection.close_cause is Cause.RESET:
+            self._is_reset = True
         cause = failure or connection.close_cause
         self.closed_by_cause[cause] = self.closed_by_cause.get(cause, 0) + 1
         self._dispatch()
@@ -232,6 +266,8 @@
             self._connecting -= 1
             if self._assign_to_new(connection):
                 return
+        else:
+            self._is_reset = False
         if connection.is_closing:
             return
         if self._closed.is_set() or len(self._connections) > self.connection_limit:
--- a/packages/core/crocusbay/transport/tests/scripted.py
+++ b/packages/core/crocusbay/transport/tests/scripted.py
@@ -36,7 +36,7 @@
         self.requests: list[bytes] = []
         self.connections = 0
         self._script = script
-        self._closing = closing
+        self.closing = closing
         self.address = ""
         self.gate = anyio.Event()
         self.gate.set()
@@ -59,7 +59,7 @@
                 await self.gate.wait()
                 if response:
                     await stream.send(response)
-                if self._closing:
+                if self.closing:
                     return
 
 
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -42,13 +42,16 @@
         self.verdicts = {}
         self._received = anyio.Event()
 
-    def send(self, request="r1", seconds=5.0, **fields):
+    def send(self, request="r1", seconds=5.0, on_new_connection=False, **fields):
         deadline = self.timers.now() + seconds
         sub_request = replace(
             SubRequest(request, "GET", "/search?q=a", deadline), **fields
         )
         exchange = Exchange(sub_request, self._on_verdict)
-        self.pool.submit(exchange)
+        if on_new_connection:
+            self.pool.submit_on_new_connection(exchange)
+        else:
+            self.pool.submit(exchange)
         return exchange
 
     def _on_verdict(self, exchange, verdict):
@@ -238,6 +241,45 @@
         assert pool.closed_by_cause == {Cause.SILENT: 1}
 
 
+@pytest.mark.parametrize(
+    ("ping_response", "expected"),
+    [
+        (make_response(), Ran(SubResponse(200, b'"ran"'))),
+        (make_response(503), Ran(SubResponse(200, b'"ran"'))),
+        (make_response(request=b"r0"), NotRun(Cause.CONNECT_FAILED)),
+    ],
+)
+@pytest.mark.parametrize("on_new_connection", [False, True])
+async def test_request_after_a_reset_follows_a_ping(
+    ping_response, expected, on_new_connection
+):
+    async with (
+        scripted_server(
+            no_response, ping_response, make_response(body=b'"ran"'), closing=True
+        ) as server,
+        running_pool(server.address, connection_limit=1) as (pool, timers),
+    ):
+        caller = Caller(pool, timers)
+        caller.send("reset")
+        assert await caller.verdict("reset") == MayHaveRun(Cause.RESET)
+        server.closing = False
+        caller.send("next", on_new_connection=on_new_connection)
+        assert await caller.verdict("next") == expected
+        assert server.requests[1].startswith(b"GET /health")
+
+
+async def test_request_is_not_run_if_the_server_resets_the_ping():
+    async with (
+        scripted_server(no_response, no_response, closing=True) as server,
+        running_pool(server.address, connection_limit=1) as (pool, timers),
+    ):
+        caller = Caller(pool, timers)
+        caller.send("reset")
+        assert await caller.verdict("reset") == MayHaveRun(Cause.RESET)
+        caller.send("next")
+        assert await caller.verdict("next") == NotRun(Cause.CONNECT_FAILED)
+
+
 async def test_closed_pool_refuses_requests_and_finishes_those_in_flight():
     async with (
         scripted_server(make_response(body=b"1")) as server,
--- a/packages/standins/crocusbay_standins/tests/test_search.py
+++ b/packages/standins/crocusbay_standins/tests/test_search.py
@@ -323,6 +323,26 @@
             assert result.response.coverage.is_complete
 
 
+async def test_servers_that_reset_new_connections_do_not_reduce_coverage():
+    async with run_in_process_cluster(search_services=20) as cluster:
+        await cluster.search()
+        cluster.runtime.retry_budget.tokens = 0.0
+        servers = cluster.runtime.servers_by_name
+        for name, server in servers.items():
+            server.latency.add(
+                0.001 if name.endswith(".1") else 1.0, cluster.timers.now()
+            )
+        stopping = [name for name in servers if name.endswith(".1")]
+        for name in stopping:
+            cluster.servers[name].reset_connections()
+        pools = [servers[name].pool for name in stopping]
+        await wait_until(lambda: not any(pool.open_connections for pool in pools))
+        for _ in range(10):
+            result = await cluster.search()
+            assert isinstance(result, Ran), result
+            assert result.response.coverage.is_complete
+
+
 async def test_silent_connections_of_some_services_do_not_reduce_coverage():
     async with run_in_process_cluster(deadline=2.0) as cluster:
         for _ in range(5):
--- a/packages/standins/crocusbay_standins/upstreams.py
+++ b/packages/standins/crocusbay_standins/upstreams.py
@@ -104,6 +104,7 @@
         self._clock = clock
         self._connections: dict[anyio.CancelScope, anyio.abc.SocketStream] = {}
         self._silent_scopes: set[anyio.CancelScope] = set()
+        self._is_resetting = False
         self._mismatched_request_id = "other"
         self._crashed = anyio.Event()
 
@@ -130,6 +131,15 @@
         """Stop answering on the open connections for good, without closing them."""
         self._silent_scopes.update(self._connections)
 
+    def reset_connections(self) -> None:
+        """Close the open connections, and from now on new ones at their first request.
+
+        A server that stops does so until its listener is closed.
+        """
+        self._is_resetting = True
+        for scope in self._connections:
+            scope.cancel()
+
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         service = self.simulation.service
         if len(self._connections) >= service.connections:
@@ -162,6 +172,8 @@
         parser = httptools.HttpRequestParser(collector)
         while True:
             parser.feed_data(await stream.receive())
+            if self._is_resetting:
+                return
             while collector.requests:
                 message = collector.requests.pop(0)
                 if scope in self._silent_scopes:
