Count a request as not sent if its connection had ended

Cause: the event loop notes the end of an idle connection before the connection's task runs. A request given to it in between was refused by the stream, yet counted as sent: as reset, so as a possible crash by the request, which quarantines a search if it meets all of its services, and takes its retries from the budget. An order's fate was unknown without need.

Ruled out: a partial write, as the stream refuses before it writes. The gateway's own transport closes a connection in the callback that reports its end.

Change: a request is sent once the stream took it; otherwise it fails with no-connection.

Before and after: the new test got MayHaveRun(reset), now NotRun(no-connection).

--- a/packages/core/crocusbay/transport/connection.py
+++ b/packages/core/crocusbay/transport/connection.py
@@ -98,7 +98,10 @@
         self.is_closing = True
         self._stream.close()
         if self.current_exchange:
-            self.current_exchange.fail(self.close_cause)
+            is_sent = self.current_exchange.is_sent
+            self.current_exchange.fail(
+                self.close_cause if is_sent else Cause.NO_CONNECTION
+            )
         return None
 
     def close(self, cause: Cause) -> None:
@@ -108,13 +111,14 @@
         self._scope.cancel()
 
     def send(self, exchange: Exchange, data: bytes) -> None:
-        """Write one request; a failed write closes the connection."""
-        exchange.is_sent = True
-        exchange.sent_at = self._now()
+        """Write one request; close the connection if it does not take it."""
         try:
             self._stream.send(data)
         except anyio.BrokenResourceError:
             self.close(Cause.RESET)
+            return
+        exchange.is_sent = True
+        exchange.sent_at = self._now()
 
     async def _read_responses(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
--- a/packages/core/crocusbay/transport/tests/test_pool.py
+++ b/packages/core/crocusbay/transport/tests/test_pool.py
@@ -280,6 +280,21 @@
         assert await caller.verdict("next") == NotRun(Cause.CONNECT_FAILED)
 
 
+async def test_request_for_a_connection_that_has_ended_is_not_run():
+    async with (
+        scripted_server(make_response()) as server,
+        running_pool(server.address, connection_limit=1) as (pool, timers),
+    ):
+        caller = Caller(pool, timers)
+        caller.send("first")
+        await caller.verdict("first")
+        for connection in pool._connections:
+            # As the event loop does just before it runs the connection's task.
+            connection._stream.eof_received()
+        caller.send("next")
+        assert await caller.verdict("next") == NotRun(Cause.NO_CONNECTION)
+
+
 async def test_closed_pool_refuses_requests_and_finishes_those_in_flight():
     async with (
         scripted_server(make_response(body=b"1")) as server,
