Print the seed and the reason of every end of a soak

Ways in which it could, each forced and each without a line on standard output before: SIGTERM, SIGHUP (a closed session), SIGKILL (no memory), SIGSEGV, SIGABRT, os._exit, an exit with code 0, an exception or no memory (a traceback on standard error only), and a closed pipe of the output, after which click exits with 1 and prints nothing. The seed was printed only after its end. Which one it was is not known.

Memory did grow: a killed emulated host never ends its tasks, which anyio keeps, nor its log file. Seeds 6000 to 6049 in one process: 42 MiB after the first, 539 MiB and 356 descriptors after the last, some 10 MiB and 7 descriptors a seed. This is too little for the machine's 31 GiB to run out by itself.

Change: each seed runs in a process of its own, so memory and descriptors end with it, and its parent prints how it ended; later seeds run all the same. A line is printed when a seed starts. Signals that end the soak are printed; the traceback of a crash goes to standard error (faulthandler). Seeds without a report make the exit code 1. Only SIGKILL of the parent has no reason; the last line tells its seed.

--- a/packages/standins/crocusbay_standins/soak/__main__.py
+++ b/packages/standins/crocusbay_standins/soak/__main__.py
@@ -1,14 +1,22 @@
 """Command line: run soaks and print the violations."""
 
 import asyncio
+import faulthandler
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 
 import click
 
 from crocusbay_standins.emulator.runner import run_emulated_soak
-from crocusbay_standins.soak.run import Soak, SoakPlan
+from crocusbay_standins.soak.run import Soak, SoakPlan, SoakReport
+from crocusbay_standins.soak.seed_process import (
+    Aborted,
+    Interrupted,
+    raise_on_ending_signals,
+    run_in_process,
+)
 
 
 @click.command()
@@ -49,38 +57,65 @@
     """Run hosts under random faults and check their guarantees."""
     if emulated and production:
         raise click.UsageError("hosts of another version run as processes only")
-    has_violations = False
-    for seed in range(first_seed, first_seed + seeds):
-        folder = (logs or Path(tempfile.mkdtemp())) / str(seed)
-        folder.mkdir(parents=True, exist_ok=True)
-        plan = SoakPlan(
-            seed,
-            hosts,
-            callers,
-            seconds,
-            crashing_requests=crashing_requests,
-            restores=restores,
-            production=production,
-        )
-        if emulated:
-            report = run_emulated_soak(plan, folder)
-        else:
-            report = asyncio.run(Soak(plan, folder).run())
-        click.echo(
-            f"seed {seed}: {report.served} of {report.requests} served, "
-            f"{len(report.faults)} faults, {len(report.violations)} broken"
-        )
-        if report.violations:
-            has_violations = True
+    faulthandler.enable()
+    raise_on_ending_signals()
+    is_passed = True
+    seed = first_seed
+    try:
+        for seed in range(first_seed, first_seed + seeds):
+            click.echo(f"seed {seed}: started")
+            folder = (logs or Path(tempfile.mkdtemp())) / str(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+            plan = SoakPlan(
+                seed,
+                hosts,
+                callers,
+                seconds,
+                crashing_requests=crashing_requests,
+                restores=restores,
+                production=production,
+            )
+            result = run_in_process(partial(run_seed, plan, folder, emulated))
+            print_result(seed, folder, result)
+            if isinstance(result, Aborted) or result.violations:
+                is_passed = False
+    except Interrupted as interruption:
+        click.echo(f"seed {seed}: ended by {interruption.reason}")
+        raise
+    except OSError as error:
+        # Standard output may be what is gone.
+        click.echo(f"seed {seed}: ended by {error!r}", err=True)
+        sys.exit(1)
+    sys.exit(not is_passed)
+
+
+def run_seed(plan: SoakPlan, folder: Path, emulated: bool) -> SoakReport:
+    """Run one seed in this process."""
+    if emulated:
+        return run_emulated_soak(plan, folder)
+    return asyncio.run(Soak(plan, folder).run())
+
+
+def print_result(seed: int, folder: Path, result: SoakReport | Aborted) -> None:
+    """Print counts and violations of a seed, or the reason why it has none."""
+    match result:
+        case Aborted(reason):
+            click.echo(f"seed {seed}: ended by {reason}\n  logs in {folder}")
+        case SoakReport():
+            click.echo(
+                f"seed {seed}: {result.served} of {result.requests} served, "
+                f"{len(result.faults)} faults, {len(result.violations)} broken"
+            )
+            if not result.violations:
+                return
             click.echo(f"  logs in {folder}")
-            for fault in report.faults:
+            for fault in result.faults:
                 click.echo(f"  {fault}")
-            for violation in report.violations[:20]:
+            for violation in result.violations[:20]:
                 click.echo(
                     f"  BROKEN {violation.guarantee}: "
                     f"{violation.attempt_id} {violation.detail}"
                 )
-    sys.exit(has_violations)
 
 
 if __name__ == "__main__":
