Delay removals after an outage also if another host polled first

Cause: removals are delayed for 2.2 s if the view was not confirmed for longer. The first host's heartbeat had just confirmed the second one's view, which hid the outage from it. The delay of the first host doesn't help the others, as they take over what a peer applied. Ruled out: a delay that was too short, as the 28 removals came 0.16 s after the store's return.

Change: a confirmation by a peer after more than 3 s without any starts the delay as well, the same bound as for a host's own poll whose calls didn't fail.

Before and after: 2 of 6 new cases failed, all pass; tests of the gateway and three files of the emulator: 427 passed.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -84,6 +84,29 @@
     assert (not view.by_name["x"].is_removed) == is_present
 
 
+@pytest.mark.parametrize(
+    ("gap", "after", "is_present"),
+    [
+        (UNPOLLED_AGE_SECONDS - 0.1, 0.1, False),
+        (UNPOLLED_AGE_SECONDS + 1, 0.1, True),
+        (UNPOLLED_AGE_SECONDS + 1, REMOVAL_DELAY_SECONDS + 0.1, False),
+    ],
+)
+@pytest.mark.parametrize("is_merged", [True, False])
+def test_removals_are_delayed_if_a_peer_polls_first_after_an_outage(
+    gap, after, is_present, is_merged
+):
+    view = ServersView()
+    view.update([entry()], 1, 100.0)
+    outage_end = 100.0 + gap
+    if is_merged:
+        view.merge([entry("y", 2)], (2, 0), 2, outage_end)
+    else:
+        view.confirm(1, 2, outage_end)
+    view.update([removed(revision=3)], 3, outage_end + after)
+    assert (not view.by_name["x"].is_removed) == is_present
+
+
 def test_entry_written_again_after_an_outage_stays():
     view = ServersView()
     view.update([entry()], 1, 100.0)
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -162,8 +162,7 @@
         if era_of(seen_revision) < era_of(self.seen_revision):
             return
         min_age = OUTAGE_AGE_SECONDS if has_failed_calls else UNPOLLED_AGE_SECONDS
-        if self.age(confirmed_at) > min_age and self.by_name:
-            self._removals_delayed_until = confirmed_at + REMOVAL_DELAY_SECONDS
+        self._delay_removals_after_outage(confirmed_at, min_age)
         self._advance_seen(seen_revision, confirmed_at)
         changed = []
         for entry in entries:
@@ -206,6 +205,8 @@
         have read that the entries were written again, which does not change its view.
         """
         if seen_revision >= self.revision:
+            # The other host polled first; this one may be the first to see removals.
+            self._delay_removals_after_outage(confirmed_at, UNPOLLED_AGE_SECONDS)
             self._advance(revision)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if not self._delayed_removals:
@@ -218,6 +219,10 @@
             entry for entry in self.by_name.values() if entry.revision >= revision
         )
 
+    def _delay_removals_after_outage(self, now: float, min_age: float) -> None:
+        if self.age(now) > min_age and self.by_name:
+            self._removals_delayed_until = now + REMOVAL_DELAY_SECONDS
+
     def _advance_seen(self, seen_revision: int, now: float) -> None:
         """Record what is read up to; a new era may lack or revive servers for a while.
 
