Use a peer's view at the start although the peer delays removals

Cause: a host that delays removals doesn't advance up to where it has seen the store, but takes over the revision of later changes. A new host that fetched this view got a revision after what the peer had seen, and set neither: its own stayed at zero, at which it neither answers nor lets heartbeats confirm its view; at an equal revision it doesn't fetch again. Ruled out: a missing configuration (its age was 0.2 to 1.2 s) and missing servers (35 entries at 15.3 s). Which peer it fetched from is not logged; in the code, no other way leaves a revision with nothing seen.

Change: a new host has seen what the peer whose view it takes over has seen.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -147,6 +147,20 @@
     assert view.seen_revision == 12
 
 
+def test_new_host_uses_the_view_of_a_peer_that_delays_removals():
+    peer = ServersView()
+    peer.update([entry(), entry("z")], 1, 100.0)
+    peer.update([removed(revision=2)], 2, 110.0)
+    # Another host applied a later change, up to which this one has not read.
+    peer.merge([entry("y", 5)], (5, 0), 6, 110.1)
+    view = ServersView()
+    entries = peer.changed_since(0)
+    view.merge(entries, peer.cursor, peer.seen_revision, 110.2)
+    assert view.seen_revision == peer.seen_revision
+    view.confirm(5, 6, 110.3)
+    assert view.age(110.4) < 1.0
+
+
 def test_removal_in_a_peer_view_is_applied():
     view = ServersView()
     view.update([entry()], 1, 100.0)
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -190,7 +190,9 @@
     ) -> None:
         """Apply the entries by which another host's view is ahead of this one."""
         revision, late_removals = cursor
-        if era_of(seen_revision) > era_of(self.seen_revision):
+        is_new_era = era_of(seen_revision) > era_of(self.seen_revision)
+        # A host that delays removals has not seen all up to its revision.
+        if is_new_era or not self.seen_revision:
             self._advance_seen(seen_revision, confirmed_at)
         changed = [each for each in entries if self._is_applicable(each, confirmed_at)]
         self._apply(changed, revision, confirmed_at)
