--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -84,6 +84,29 @@
     assert (not view.by_name["x"].is_removed) == is_present
 
 
+@pytest.mark.parametrize(
+    ("gap", "after", "is_present"),
+    [
+        (UNPOLLED_AGE_SECONDS - 0.1, 0.1, False),
+        (UNPOLLED_AGE_SECONDS + 1, 0.1, True),
+        (UNPOLLED_AGE_SECONDS + 1, REMOVAL_DELAY_SECONDS + 0.1, False),
+    ],
+)
+@pytest.mark.parametrize("is_merged", [True, False])
+def test_removals_are_delayed_if_a_peer_polls_first_after_an_outage(
+    gap, after, is_present, is_merged
+):
+    view = ServersView()
+    view.update([entry()], 1, 100.0)
+    outage_end = 100.0 + gap
+    if is_merged:
+        view.merge([entry("y", 2)], (2, 0), 2, outage_end)
+    else:
+        view.confirm(1, 2, outage_end)
+    view.update([removed(revision=3)], 3, outage_end + after)
+    assert (not view.by_name["x"].is_removed) == is_present
+
+
 def test_entry_written_again_after_an_outage_stays():
     view = ServersView()
     view.update([entry()], 1, 100.0)
@@ -124,6 +147,20 @@
     assert view.seen_revision == 12
 
 
+def test_new_host_uses_the_view_of_a_peer_that_delays_removals():
+    peer = ServersView()
+    peer.update([entry(), entry("z")], 1, 100.0)
+    peer.update([removed(revision=2)], 2, 110.0)
+    # Another host applied a later change, up to which this one has not read.
+    peer.merge([entry("y", 5)], (5, 0), 6, 110.1)
+    view = ServersView()
+    entries = peer.changed_since(0)
+    view.merge(entries, peer.cursor, peer.seen_revision, 110.2)
+    assert view.seen_revision == peer.seen_revision
+    view.confirm(5, 6, 110.3)
+    assert view.age(110.4) < 1.0
+
+
 def test_removal_in_a_peer_view_is_applied():
     view = ServersView()
     view.update([entry()], 1, 100.0)
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -170,8 +170,7 @@
             return
         min_age = OUTAGE_AGE_SECONDS if has_failed_calls else UNPOLLED_AGE_SECONDS
         self._record_outage(confirmed_at)
-        if self.age(confirmed_at) > min_age and self.by_name:
-            self._removals_delayed_until = confirmed_at + REMOVAL_DELAY_SECONDS
+        self._delay_removals_after_outage(confirmed_at, min_age)
         self._advance_seen(seen_revision, confirmed_at)
         changed = []
         for entry in entries:
@@ -200,7 +199,9 @@
         """Apply the entries by which another host's view is ahead of this one."""
         revision, late_removals = cursor
         self._record_outage(confirmed_at)
-        if era_of(seen_revision) > era_of(self.seen_revision):
+        is_new_era = era_of(seen_revision) > era_of(self.seen_revision)
+        # A host that delays removals has not seen all up to its revision.
+        if is_new_era or not self.seen_revision:
             self._advance_seen(seen_revision, confirmed_at)
         changed = [each for each in entries if self._is_applicable(each, confirmed_at)]
         self._apply(changed, revision, confirmed_at)
@@ -216,6 +217,8 @@
         """
         if seen_revision >= self.revision:
             self._record_outage(confirmed_at)
+            # The other host polled first; this one may be the first to see removals.
+            self._delay_removals_after_outage(confirmed_at, UNPOLLED_AGE_SECONDS)
             self._advance(revision)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if not self._delayed_removals:
@@ -236,6 +239,10 @@
             entry for entry in self.by_name.values() if entry.revision >= revision
         )
 
+    def _delay_removals_after_outage(self, now: float, min_age: float) -> None:
+        if self.age(now) > min_age and self.by_name:
+            self._removals_delayed_until = now + REMOVAL_DELAY_SECONDS
+
     def _advance_seen(self, seen_revision: int, now: float) -> None:
         """Record what is read up to; a new era may lack or revive servers for a while.
 
