--- a/packages/core/crocusbay/transport/tests/test_cut_responses.py
+++ b/packages/core/crocusbay/transport/tests/test_cut_responses.py
@@ -1,6 +1,7 @@
 """A response that a server did not send to its end is never taken for a whole one."""
 
 import asyncio
+import itertools
 import re
 import socket
 import struct
@@ -123,8 +124,10 @@
         running_pool(address) as (pool, timers),
     ):
         caller = Caller(pool, timers)
-        while responses:
-            request = f"r{len(responses)}"
+        for number in itertools.count():
+            if not responses:
+                break
+            request = f"r{number}"
             unsent = len(responses)
             caller.send(request)
             verdict = await caller.verdict(request)
