Wait for the ends of servers over several outages of the store

Seen in the emulator: servers that ended in silence while the store was away for 14 s, back for 1 s and away for 2.5 s more were not counted.

Cause: the time for which changes may have been unknown was that of the last outage, although removals were still delayed after the one before; suspicions from the first outage were too old. Not traced: why fetch and order passed before the change as well.

Change: the view remembers since when changes are hidden, over outages that follow each other before the delays end.

A store that is out again and again hides changes all the while, as one long outage does.

--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_views.py
@@ -84,6 +84,17 @@
     assert (not view.by_name["x"].is_removed) == is_present
 
 
+@pytest.mark.parametrize("pause", [0.0, 1.0])
+def test_changes_may_have_been_unknown_since_the_first_of_several_outages(pause):
+    view = ServersView()
+    view.update([entry()], 1, 100.0)
+    view.replace_all([entry()], 2, 110.0, has_failed_calls=True)
+    view.update([], 3, 110.0 + pause)
+    again_at = 110.0 + pause + OUTAGE_AGE_SECONDS + 0.1
+    view.replace_all([], 4, again_at, has_failed_calls=True)
+    assert view.unknown_for(again_at) >= again_at - 100.0
+
+
 def test_entry_written_again_after_an_outage_stays():
     view = ServersView()
     view.update([entry()], 1, 100.0)
--- a/packages/gateway/crocusbay_gateway/coordination/views.py
+++ b/packages/gateway/crocusbay_gateway/coordination/views.py
@@ -102,8 +102,8 @@
         self._removals_delayed_until = float("-inf")
         self._delayed_revivals: dict[str, ServerEntry] = {}
         self._revivals_delayed_until = float("-inf")
-        # Length of the last outage of the store, and until when it delays changes.
-        self._outage_seconds = 0.0
+        # Since when outages of the store hide changes, and until when they delay them.
+        self._hidden_since = float("inf")
         self._outage_affects_until = float("-inf")
         self._subscribers: list[Callable[[list[ServerEntry]], None]] = []
 
@@ -113,7 +113,7 @@
 
     def unknown_for(self, now: float) -> float:
         """Return for how long changes seen now may have been unknown (seconds)."""
-        return self._outage_seconds if now < self._outage_affects_until else 0.0
+        return now - self._hidden_since if now < self._outage_affects_until else 0.0
 
     def age(self, now: float) -> float:
         """Return the time since the store confirmed the view (seconds)."""
@@ -225,7 +225,9 @@
     def _record_outage(self, confirmed_at: float) -> None:
         age = self.age(confirmed_at)
         if age > OUTAGE_AGE_SECONDS and self.by_name:
-            self._outage_seconds = age + REMOVAL_DELAY_SECONDS
+            # A further outage may go on hiding what an earlier one hid.
+            if self.confirmed_at >= self._outage_affects_until:
+                self._hidden_since = self.confirmed_at
             self._outage_affects_until = (
                 confirmed_at + REMOVAL_DELAY_SECONDS + UNPOLLED_AGE_SECONDS
             )
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
@@ -22,6 +22,8 @@
 KILL_DELAY_SECONDS = 0.03
 # A caller that leaves waits so long for a reply.
 PATIENCE_SECONDS = 0.3
+# The store is back for so long between outages.
+OUTAGE_PAUSE_SECONDS = 1.0
 
 
 class CrashingDeployment(Deployment):
@@ -139,23 +141,27 @@
 
 @pytest.mark.parametrize("crash_mode", [CrashMode.SILENT, CrashMode.ACCEPTING])
 @pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
+@pytest.mark.parametrize("outages", [[10.0], [14.0, 2.5]], ids=["once", "twice"])
 def test_crash_counts_if_the_entry_ends_during_a_store_outage(
-    loop, tmp_path, target, crash_mode
+    loop, tmp_path, outages, target, crash_mode
 ):
     async def main():
         deployment = CrashingDeployment(tmp_path, target, crash_mode, 3.6, hosts=6)
         await deployment.start()
 
         async def fail_store():
-            deployment.store.outage = Outage.UNAVAILABLE
-            await asyncio.sleep(10.0)
-            deployment.store.outage = Outage.NONE
+            for seconds in outages:
+                deployment.store.outage = Outage.UNAVAILABLE
+                await asyncio.sleep(seconds)
+                deployment.store.outage = Outage.NONE
+                await asyncio.sleep(OUTAGE_PAUSE_SECONDS)
 
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(fail_store())
             await deployment.send_copies(3)
             # Until the store is back, nothing shows that silent servers have ended.
-            await asyncio.sleep(12.0)
+            pauses = OUTAGE_PAUSE_SECONDS * len(outages[1:])
+            await asyncio.sleep(sum(outages) + pauses + 2.0)
             await deployment.send_copies(interval=0.4)
         assert deployment.late_retries() <= MAX_LATE_RETRIES
 
