Save quarantines for the hosts that observed them

Seen in the emulator: one host observes the crashes while the store is away and is killed before the store is back; all hosts keep the quarantine in memory, but once they are killed together the request reaches servers again.

Cause: only hosts that observed a crash of a request write its quarantine. Ruled out: that other hosts do not learn of it (reported at once and in turn).

Change: the three hosts that read the store first also write quarantines that they do not know to be saved, so up to three calls more for each quarantine; crashes below the threshold are not written, as before.

--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -16,7 +16,8 @@
 SYNCHRONIZATION_INTERVAL_SECONDS = 0.5
 # Allows a host that has just started to receive heartbeats before it reads.
 STARTUP_DELAY_SECONDS = 0.2
-# Hosts that read after their start; the others learn from heartbeats.
+# Hosts that read after their start; the others learn from heartbeats. They also write
+# quarantines for the hosts that observed them, which may be killed before they do.
 READERS = 3
 # Removals that are repeated after a restore of the store.
 MAX_REMOVED_FINGERPRINTS = 64
@@ -25,7 +26,10 @@
 
 
 class QuarantineStore:
-    """Write the quarantines that this host observed, and read those of others."""
+    """Write the quarantines that this host observed, and read those of others.
+
+    A few hosts write those of others too.
+    """
 
     def __init__(
         self,
@@ -59,8 +63,6 @@
 
     def write_again(self) -> None:
         """Write what a restored store has lost, and remove what it has again."""
-        if self._membership.polling_rank(self._reaches_store()) < READERS:
-            self._unsaved.update(self._crash_monitor.quarantine.quarantined)
         self._unsaved.update(self._saved)
         self._saved.clear()
         self._expired.update(self._removed)
@@ -69,6 +71,9 @@
         """Read, write and remove what is due; what fails is due again next time."""
         expired = self._crash_monitor.pop_expired()
         self._unsaved.update(self._crash_monitor.pop_unsaved())
+        if self._membership.polling_rank(self._reaches_store()) < READERS:
+            quarantined = self._crash_monitor.quarantine.quarantined
+            self._unsaved.update(quarantined - self._saved)
         self._unsaved.difference_update(expired)
         self._expired.update(self._saved.intersection(expired))
         try:
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_not_counted.py
@@ -168,6 +168,30 @@
     loop.run_until_complete(main())
 
 
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER])
+def test_quarantine_is_saved_if_the_hosts_that_saw_the_crashes_are_killed(
+    loop, tmp_path, target
+):
+    """The store is away meanwhile; later, all hosts are killed at once."""
+
+    async def main():
+        deployment = CrashingDeployment(tmp_path, target, hosts=6)
+        await deployment.start()
+        observer = deployment.hosts[0]
+        deployment.store.outage = Outage.UNAVAILABLE
+        for _ in range(CRASHES_TO_QUARANTINE):
+            await deployment._send_copy(observer, None)
+            await asyncio.sleep(STABLE_SECONDS)
+        await kill_and_restart(deployment, observer)
+        deployment.store.outage = Outage.NONE
+        await asyncio.sleep(STABLE_SECONDS)
+        await deployment.restart(deployment.hosts)
+        await deployment.send_copies()
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
 @pytest.mark.parametrize("lease", [0.5, 3.6])
 @pytest.mark.parametrize("target", [GATHER, FETCH])
 def test_silent_crash_counts_if_the_caller_leaves(loop, tmp_path, target, lease):
