--- a/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/simulation.py
@@ -90,6 +90,7 @@
     statement: ServerStatement = ServerStatement()
     listening: Listening = Listening.ACCEPTED
     is_signed: bool = True
+    check_delay: float = 0.0
 
 
 @dataclass
@@ -108,7 +109,14 @@
     is_closed: bool = False
 
     def check_listening(self, on_result):
-        on_result(self.script.listening)
+        script = self.script
+        if not script.check_delay:
+            on_result(script.listening)
+            return
+        self.timers.at(
+            self.timers.now() + script.check_delay,
+            lambda: on_result(script.listening),
+        )
 
     def submit(self, exchange):
         self.received.append(exchange)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
@@ -172,3 +172,19 @@
     assert (await forward(gateway, request, max_attempts=2)).status == 200
     monitor = gateway.context.crash_monitor
     assert not monitor.quarantine.crashes(monitor.track(request).fingerprint)
+
+
+async def test_response_during_the_check_of_an_address_clears_the_suspicion():
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    server = gateway.registry.choose_server("s")
+    gateway.set_script(
+        server.entry.name,
+        verdict=RESET,
+        listening=Listening.UNKNOWN,
+        check_delay=0.5,
+    )
+    request = make_request(gateway)
+    assert (await forward(gateway, request, max_attempts=2)).status == 200
+    await gateway.timers.advance(1.0)
+    gateway.registry.apply_entries([remove(server.entry)])
+    assert not has_crash(gateway, request)
