Let an odd object in the store cost itself alone

Cause: a page of the list was decoded as a whole. The decoder raises RecursionError, which is no ValueError, for a value nested 1,000 deep, also where it skips it: the task that polls ended, and with it the process of each host, and each start after. For a lone surrogate the page counted as malformed, so every poll failed and the store counted as lost. Numbers that no message between hosts can carry ended the hosts that had taken them from the store, when they sent them on. Ruled out: a limit on the size of an entry (1,000 brackets suffice), and a decoder of the standard library (recursive too; 9 times slower on a page). Change: if the page can't be decoded, the spans of its objects are found without recursion and decoded one by one (protocol/json_spans.py, objects.py). What names no server counts as removed, is logged once for each revision (object-ignored) and is counted. Ranges, IP addresses and ports are checked in the adapter (state/ranges.py). Errors that no part expects end the task, request, connection or timer that they occurred in, with their stack in the log (supervision.py, unexpected_errors.py); only the start, the stop and the timers themselves may still end the process. Conclusion: an odd entry no longer ends a host or its list.

--- a/packages/core/crocusbay/state/__init__.py
+++ b/packages/core/crocusbay/state/__init__.py
@@ -12,7 +12,12 @@
 from crocusbay.state.index import IndexStatus, Shard, Snapshot
 from crocusbay.state.member import Load, Member
 from crocusbay.state.stamp import HybridClock, Stamp, parse_stamp
-from crocusbay.state.upstream import Upstream, UpstreamStatus, split_address
+from crocusbay.state.upstream import (
+    Upstream,
+    UpstreamStatus,
+    split_address,
+    split_server_address,
+)
 from crocusbay.state.verdict import Cause, MayHaveRun, NotRun, Ran, Verdict
 
 __all__ = [
@@ -43,4 +48,5 @@
     "merge_events",
     "parse_stamp",
     "split_address",
+    "split_server_address",
 ]
--- a/packages/core/crocusbay/transport/timers.py
+++ b/packages/core/crocusbay/transport/timers.py
@@ -55,9 +55,11 @@
         self._sequence = itertools.count()
         self._wake = anyio.Event()
         self.now = now
+        # Called with the name and the error of a callback that raises one.
+        self.on_error: Callable[[str, Exception], None] = _raise_error
 
     def at(self, when: float, callback: Callable[[], None]) -> Timer:
-        """Run a callback at the given time; it must neither block nor raise."""
+        """Run a callback at the given time; it must not block."""
         timer = Timer(callback)
         is_first = not self._heap or when < self._heap[0][0]
         heapq.heappush(self._heap, (when, next(self._sequence), timer))
@@ -92,7 +94,18 @@
         while self._heap and (self._heap[0][0] <= now or self._heap[0][2].is_cancelled):
             timer = heapq.heappop(self._heap)[2]
             if not timer.is_cancelled:
-                timer.callback()
+                self._run_callback(timer.callback)
         if not self._heap:
             return MAX_SLEEP_SECONDS
         return max(0.0, self._heap[0][0] - now)
+
+    def _run_callback(self, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception as error:
+            self.on_error(getattr(callback, "__qualname__", repr(callback)), error)
+
+
+def _raise_error(name: str, error: Exception) -> None:
+    """Let an error end the task that runs the timers."""
+    raise error
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -43,6 +43,8 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
+# Of a request's ID in reports of errors.
+MAX_ID_LENGTH = 64
 # With a configuration older than this, a route that is not found may be a new one, so
 # the reply is "unavailable" instead of "not found".
 NOT_FOUND_MAX_AGE_SECONDS = 2.5
@@ -75,6 +77,7 @@
         cores: float,
         handover: HandoverClient,
         spawn: Callable,
+        on_error: Callable[[str, Exception, str], None],
     ) -> None:
         self.running_count = 0
         self.received_count = 0
@@ -85,6 +88,7 @@
         self._latency_by_route: dict[str, RouteLatency] = {}
         self._round_robin_by_route: dict[str, WeightedRoundRobin] = {}
         self._handover = handover
+        self._on_error = on_error
         self._running_requests: set[_RunningRequest] = set()
         self._handover_scopes: set[anyio.CancelScope] = set()
         self._planned_stop: PlannedStop | None = None
@@ -96,11 +100,21 @@
 
     async def handle(self, request: CallerRequest) -> Reply:
         """Return the final reply to a request."""
-        return await self._handle(request, may_hand_over=True)
+        return await self._handle_or_fail(request, may_hand_over=True)
 
     async def handle_handover(self, request: CallerRequest) -> Reply:
         """Return the final reply to a request that another host handed over."""
-        return await self._handle(request, may_hand_over=False)
+        return await self._handle_or_fail(request, may_hand_over=False)
+
+    async def _handle_or_fail(
+        self, request: CallerRequest, *, may_hand_over: bool
+    ) -> Reply:
+        """Return a reply; after an unexpected error, the request may have run."""
+        try:
+            return await self._handle(request, may_hand_over=may_hand_over)
+        except Exception as error:
+            self._on_error("request", error, request.attempt_id[:MAX_ID_LENGTH])
+            return reply_to_failure(MayHaveRun(Cause.PROTOCOL), 0.0)
 
     def handle_peer_query(
         self, connection: FrameConnection, query: msgspec.Struct
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from crocusbay.transport.supervision import Supervisor
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
@@ -43,6 +44,7 @@
     format_revision,
 )
 from crocusbay_gateway.transport import CallerServer, serve_pages
+from crocusbay_gateway.unexpected_errors import UnexpectedErrors
 
 # Weight of the newest sample, one per heartbeat, in the smoothed load.
 LOAD_SMOOTHING = 0.2
@@ -74,12 +76,14 @@
         log: EventLog,
         timers: TimerService,
         metrics: GatewayMetrics,
+        errors: UnexpectedErrors,
         incarnation: int,
     ) -> None:
         self.settings = settings
         self.log = log
         self.timers = timers
         self.metrics = metrics
+        self.errors = errors
         self.is_leaving = False
         self.configuration = ConfigurationView()
         self.servers = ServersView(settings.bounds.server_lease)
@@ -130,35 +134,38 @@
     async def run(self) -> None:
         """Serve requests until a planned stop is complete."""
         async with anyio.create_task_group() as tasks:
+            # An error of the timers themselves, or on the way to the start or the stop,
+            # ends the process; every other one ends what it occurred in.
             tasks.start_soon(self.timers.run)
-            self._build(tasks)
-            await self._listen(tasks)
+            supervisor = Supervisor(tasks.start_soon, self.timers, self.errors.record)
+            self._build(supervisor)
+            await self._listen(supervisor)
             self.log.info(
                 "started",
                 place=self.settings.data_centre,
                 callers=self.settings.caller_address,
                 incarnation=self.membership.incarnation,
             )
-            tasks.start_soon(self._send_heartbeats)
-            tasks.start_soon(self.store_watcher.watch_configuration)
-            tasks.start_soon(self.store_watcher.watch_servers)
-            tasks.start_soon(self.peering.maintain_host_list, self._store)
-            tasks.start_soon(self.quarantine_store.run)
-            tasks.start_soon(self.server_prober.run)
+            supervisor.start_service(self._send_heartbeats)
+            supervisor.start_service(self.store_watcher.watch_configuration)
+            supervisor.start_service(self.store_watcher.watch_servers)
+            supervisor.start_service(self.peering.maintain_host_list, self._store)
+            supervisor.start_service(self.quarantine_store.run)
+            supervisor.start_service(self.server_prober.run)
             await self._stop_requested.wait()
             await self._finish_requests()
             self.log.info("stopped", left_out=self.log.dropped_lines)
             self.log.flush()
             tasks.cancel_scope.cancel()
 
-    def _build(self, tasks: anyio.abc.TaskGroup) -> None:
+    def _build(self, supervisor: Supervisor) -> None:
         settings = self.settings
         self.registry = Registry(
             settings.data_centre,
             self._conventions,
             settings.bounds,
             self.timers,
-            tasks.start_soon,
+            supervisor.start,
         )
         self.crash_monitor = CrashMonitor(
             Quarantine(),
@@ -188,7 +195,7 @@
             self.server_statements,
             self.log,
             self.metrics,
-            RelayClients(self.membership, self.timers, self.log, tasks.start_soon),
+            RelayClients(self.membership, self.timers, self.log, supervisor.start),
         )
         self.request_service = RequestService(
             context,
@@ -196,7 +203,8 @@
             self.servers,
             settings.cores,
             self.handover,
-            tasks.start_soon,
+            supervisor.start,
+            self.errors.record,
         )
         self.server_prober = ServerProber(
             self.registry.reachability,
@@ -239,13 +247,13 @@
             self.request_service.handle_peer_disconnect,
             self.log,
             self.timers,
-            tasks.start_soon,
+            supervisor.start,
         )
         self.peering.seed_ips = settings.seed_ips
 
-    async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
+    async def _listen(self, supervisor: Supervisor) -> None:
         settings = self.settings
-        await self.caller_server.start(settings.caller_address, tasks)
+        await self.caller_server.start(settings.caller_address, supervisor.start)
         await self.peering.start(settings.ip, settings.peer_port)
         await serve_pages(settings.readiness_address, self._readiness_page)
         await serve_pages(settings.entry_address, self._entry_page)
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -128,6 +128,16 @@
         self.store_calls = LabelledValue(
             "crocusbay_gateway_store_calls", "Calls to the store", "call", "result"
         )
+        self.unexpected_errors = LabelledValue(
+            "crocusbay_gateway_unexpected_errors",
+            "Errors that ended a task, a message or a callback",
+            "task",
+        )
+        self.ignored_objects = LabelledValue(
+            "crocusbay_gateway_ignored_objects",
+            "Revisions of objects in the store that can't be used",
+            "kind",
+        )
         self.members = LabelledValue("crocusbay_gateway_members", "Hosts heard")
         self.view_age = LabelledValue(
             "crocusbay_gateway_view_age_seconds",
@@ -170,6 +180,8 @@
             (self.server_crashes, CounterMetricFamily),
             (self.quarantines, CounterMetricFamily),
             (self.store_calls, CounterMetricFamily),
+            (self.unexpected_errors, CounterMetricFamily),
+            (self.ignored_objects, CounterMetricFamily),
             (self.members, GaugeMetricFamily),
             (self.view_age, GaugeMetricFamily),
             (self.store_era, GaugeMetricFamily),
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 encoding and the messages exchanged between hosts."""
 
+from crocusbay_gateway.protocol.decoding import decode_message
 from crocusbay_gateway.protocol.handover import (
     HandoverCancel,
     HandoverReply,
@@ -19,6 +20,7 @@
     ServerReport,
     ViewQuery,
     ViewResponse,
+    decode_view,
 )
 from crocusbay_gateway.protocol.relay import (
     RelayCancel,
@@ -47,6 +49,8 @@
     "ServerReport",
     "ViewQuery",
     "ViewResponse",
+    "decode_message",
+    "decode_view",
     "encode_reply",
     "encode_server_request",
     "forwardable_headers",
--- a/packages/gateway/crocusbay_gateway/protocol/handover.py
+++ b/packages/gateway/crocusbay_gateway/protocol/handover.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from crocusbay_gateway.state import Reply
+from crocusbay_gateway.state import Age, Ordinal, Reply
 
 
 class HandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag="request"):
@@ -12,7 +12,7 @@
     deadline.
     """
 
-    handover_id: int
+    handover_id: Ordinal
     attempt_id: str
     method: str
     target: str
@@ -20,17 +20,17 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     caller_ip: str
-    remaining_time: float | None
+    remaining_time: Age | None
 
 
 class HandoverCancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
     """Cancel a request, as when its caller has left."""
 
-    handover_id: int
+    handover_id: Ordinal
 
 
 class HandoverReply(msgspec.Struct, frozen=True, array_like=True):
     """Return the reply to a request."""
 
-    handover_id: int
+    handover_id: Ordinal
     reply: Reply
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -2,15 +2,26 @@
 
 import msgspec
 
-from crocusbay_gateway.state import Configuration, HostStatus, ServerEntry
+from crocusbay.state import split_server_address
+from crocusbay_gateway.protocol.decoding import decode_message
+from crocusbay_gateway.state import (
+    Age,
+    Configuration,
+    Count,
+    HostStatus,
+    Name,
+    Ordinal,
+    Rate,
+    ServerEntry,
+)
 
 
 class KnownHost(msgspec.Struct, frozen=True, array_like=True):
     """Identify a host that the sender has recently received a heartbeat from."""
 
-    name: str
-    peer_address: str
-    data_centre: str = ""
+    name: Name
+    peer_address: Name
+    data_centre: Name = ""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -20,11 +31,11 @@
     responded to that copy of the request.
     """
 
-    fingerprint: str
-    server: str
-    service: str = ""
-    server_started_at: int = 0
-    age: float = 0.0
+    fingerprint: Name
+    server: Name
+    service: Name = ""
+    server_started_at: Ordinal = 0
+    age: Age = 0.0
     is_unanswered: bool = True
 
 
@@ -35,10 +46,10 @@
     it stated no limit. `is_leaving` is whether it ever stated that it leaves.
     """
 
-    server: str
-    started_at: int
-    rate: float | None
-    age: float
+    server: Name
+    started_at: Ordinal
+    rate: Rate | None
+    age: Age
     is_leaving: bool = False
 
 
@@ -53,9 +64,9 @@
     sender: HostStatus
     known_hosts: tuple[KnownHost, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
-    host_counts_by_data_centre: dict[str, int] = {}
+    host_counts_by_data_centre: dict[Name, Count] = {}
     server_limits: tuple[ServerReport, ...] = ()
-    loads_by_data_centre: dict[str, float] = {}
+    loads_by_data_centre: dict[Name, Rate] = {}
     remote_hosts: tuple[HostStatus, ...] = ()
 
 
@@ -66,9 +77,9 @@
     only. `configuration_version` is None without a configuration.
     """
 
-    configuration_revision: int = 0
-    servers_revision: int = 0
-    configuration_version: int | None = None
+    configuration_revision: Ordinal = 0
+    servers_revision: Ordinal = 0
+    configuration_version: Ordinal | None = None
 
 
 class ViewResponse(msgspec.Struct, frozen=True, array_like=True):
@@ -78,11 +89,46 @@
     `servers_revision`.
     """
 
-    configuration_revision: int
-    configuration_age: float
-    servers_revision: int
-    servers_seen_revision: int
-    servers_age: float
+    configuration_revision: Ordinal
+    configuration_age: Age
+    servers_revision: Ordinal
+    servers_seen_revision: Ordinal
+    servers_age: Age
     configuration: Configuration | None = None
     servers: tuple[ServerEntry, ...] = ()
-    servers_late_removals: int = 0
+    servers_late_removals: Ordinal = 0
+
+
+class EncodedViewResponse(ViewResponse, frozen=True, array_like=True):
+    """Hold a view whose server entries are decoded one by one."""
+
+    servers: tuple[msgspec.Raw, ...] = ()
+
+
+_view_decoder = msgspec.msgpack.Decoder(EncodedViewResponse)
+_entry_decoder = msgspec.msgpack.Decoder(ServerEntry)
+
+
+def decode_view(data: bytes) -> tuple[ViewResponse, tuple[str, ...]]:
+    """Return a view, and why some of its entries can't be used.
+
+    A host of another version may have such entries. Those with a malformed address
+    count as removed, others are left out. Raise ValueError if the view is malformed.
+    """
+    view = decode_message(_view_decoder, data)
+    entries, problems = [], []
+    for encoded in view.servers:
+        try:
+            entry = decode_message(_entry_decoder, encoded)
+        except ValueError as error:
+            problems.append(str(error))
+            continue
+        try:
+            if not entry.is_removed:
+                split_server_address(entry.address)
+        except ValueError as error:
+            problems.append(str(error))
+            entry = ServerEntry(entry.name, entry.revision, is_removed=True)
+        entries.append(entry)
+    fields = {name: getattr(view, name) for name in ViewResponse.__struct_fields__}
+    return ViewResponse(**{**fields, "servers": tuple(entries)}), tuple(problems)
--- a/packages/gateway/crocusbay_gateway/protocol/relay.py
+++ b/packages/gateway/crocusbay_gateway/protocol/relay.py
@@ -3,13 +3,14 @@
 import msgspec
 
 from crocusbay.state import Cause
+from crocusbay_gateway.state import Age, Count, Name, Ordinal, Period
 
 
 class RelayedSubRequest(msgspec.Struct, frozen=True, array_like=True):
     """Identify the server that receives one sub-request."""
 
-    service: str
-    server: str
+    service: Name
+    server: Name
 
 
 class RelayQuery(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
@@ -22,16 +23,16 @@
     are dropped that can't be among the greatest of all parts of the query.
     """
 
-    query_id: int
+    query_id: Ordinal
     attempt_id: str
     method: str
     target: str
     host: str
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    remaining_time: float
-    flush_after: float
-    top_k: int
+    remaining_time: Age
+    flush_after: Period
+    top_k: Count
     sub_requests: tuple[RelayedSubRequest, ...]
     fingerprint: str = ""
     merges_parts: bool = True
@@ -40,8 +41,8 @@
 class RelayCancel(msgspec.Struct, frozen=True, array_like=True, tag="leave"):
     """Cancel some sub-requests of a query, given by their indices."""
 
-    query_id: int
-    sub_request_indices: tuple[int, ...]
+    query_id: Ordinal
+    sub_request_indices: tuple[Count, ...]
 
 
 class RelayedPart(msgspec.Struct, frozen=True, array_like=True):
@@ -50,8 +51,8 @@
     `sub_request_index` is the index of the sub-request in its query.
     """
 
-    sub_request_index: int
-    elapsed: float
+    sub_request_index: Count
+    elapsed: Age
     signature: bytes
     records: bytes
 
@@ -63,17 +64,17 @@
     how long the relay may not send to the server (seconds).
     """
 
-    sub_request_index: int
+    sub_request_index: Count
     is_sent: bool
     may_have_run: bool
     cause: Cause
     detail: str = ""
-    rest_time: float = 0.0
+    rest_time: Age = 0.0
 
 
 class RelayResponse(msgspec.Struct, frozen=True, array_like=True):
     """Return the results of a query since the previous response."""
 
-    query_id: int
+    query_id: Ordinal
     parts: tuple[RelayedPart, ...] = ()
     failures: tuple[RelayedFailure, ...] = ()
--- a/packages/gateway/crocusbay_gateway/state/__init__.py
+++ b/packages/gateway/crocusbay_gateway/state/__init__.py
@@ -12,6 +12,18 @@
     WeightedService,
 )
 from crocusbay_gateway.state.host import HostStatus
+from crocusbay_gateway.state.ranges import (
+    MAX_ERA,
+    MAX_PERIOD_SECONDS,
+    Age,
+    Count,
+    Era,
+    Name,
+    Ordinal,
+    Period,
+    Rate,
+    Ratio,
+)
 from crocusbay_gateway.state.request import (
     CallerRequest,
     Reply,
@@ -22,6 +34,7 @@
 from crocusbay_gateway.state.settings import Bounds, GatewaySettings
 from crocusbay_gateway.state.store_revision import (
     FIRST_ERA,
+    MAX_NUMBER,
     era_of,
     format_revision,
     make_revision,
@@ -30,12 +43,23 @@
 
 __all__ = [
     "FIRST_ERA",
+    "MAX_ERA",
+    "MAX_NUMBER",
+    "MAX_PERIOD_SECONDS",
+    "Age",
     "Bounds",
     "CallerRequest",
     "Configuration",
+    "Count",
+    "Era",
     "GatewaySettings",
     "HostStatus",
     "Limits",
+    "Name",
+    "Ordinal",
+    "Period",
+    "Rate",
+    "Ratio",
     "Reply",
     "Route",
     "RouteKind",
--- a/packages/gateway/crocusbay_gateway/state/configuration.py
+++ b/packages/gateway/crocusbay_gateway/state/configuration.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from crocusbay_gateway.state.ranges import Count, Name, Ordinal, Period, Rate
+
 
 class RouteKind(StrEnum):
     """Classify routes by whether a request may be executed more than once."""
@@ -20,14 +22,14 @@
 class WeightedService(msgspec.Struct, frozen=True):
     """Assign a traffic weight to one service of a split."""
 
-    service: str
-    weight: float
+    service: Name
+    weight: Rate
 
 
 class ToService(msgspec.Struct, frozen=True, tag=True):
     """Route each request to one server of a service."""
 
-    service: str
+    service: Name
 
 
 class ToSplit(msgspec.Struct, frozen=True, tag=True):
@@ -42,9 +44,9 @@
     `min_shard_share` is the fraction of shards that a successful response must include.
     """
 
-    services: tuple[str, ...]
-    top_k: int = msgspec.field(name="top")
-    min_shard_share: float = msgspec.field(name="least_share")
+    services: tuple[Name, ...]
+    top_k: Count = msgspec.field(name="top")
+    min_shard_share: Rate = msgspec.field(name="least_share")
 
     def has_enough_shards(self, shard_count: int) -> bool:
         """Return whether a response merged from this many shards is successful."""
@@ -69,10 +71,10 @@
     prefix: str
     kind: RouteKind
     target: Target
-    timeout: float
-    latency_goal: float = msgspec.field(name="goal")
-    max_attempts: int = 1
-    priority: int = msgspec.field(default=0, name="rank")
+    timeout: Period
+    latency_goal: Period = msgspec.field(name="goal")
+    max_attempts: Ordinal = 1
+    priority: Ordinal = msgspec.field(default=0, name="rank")
 
     @property
     def is_idempotent(self) -> bool:
@@ -102,17 +104,17 @@
     `max_connections` limits the connections from all hosts to each of its servers.
     """
 
-    name: str
-    max_connections: int
+    name: Name
+    max_connections: Count
 
 
 class Limits(msgspec.Struct, frozen=True):
     """Limit the size and duration of callers' requests (bytes, seconds)."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 1_048_576
-    header_timeout: float = msgspec.field(default=10.0, name="header_time")
-    idle_timeout: float = msgspec.field(default=60.0, name="idle_time")
+    header_bytes: Ordinal = 16_384
+    body_bytes: Ordinal = 1_048_576
+    header_timeout: Period = msgspec.field(default=10.0, name="header_time")
+    idle_timeout: Period = msgspec.field(default=60.0, name="idle_time")
 
 
 class Configuration(msgspec.Struct, frozen=True, dict=True):
@@ -127,7 +129,7 @@
     True
     """
 
-    version: int
+    version: Ordinal
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = Limits()
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from crocusbay_gateway.state.ranges import Age, Era, Name, Ordinal, Period, Rate
+
 
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
     """Describe one host; a later status supersedes an earlier one (seconds).
@@ -18,27 +20,27 @@
     is not known, and None for hosts of versions that know no eras.
     """
 
-    name: str
-    incarnation: int
-    heartbeat_number: int
-    data_centre: str
-    caller_address: str
-    peer_address: str
+    name: Name
+    incarnation: Ordinal
+    heartbeat_number: Ordinal
+    data_centre: Name
+    caller_address: Name
+    peer_address: Name
     is_ready: bool = False
     is_leaving: bool = False
     reaches_store: bool = True
-    load: float = 0.0
-    gather_time: float = 0.0
-    configuration_revision: int = 0
-    configuration_age: float = 1e9
-    servers_revision: int = 0
-    servers_seen_revision: int = 0
-    servers_age: float = 1e9
-    servers_late_removals: int = 0
+    load: Rate = 0.0
+    gather_time: Period = 0.0
+    configuration_revision: Ordinal = 0
+    configuration_age: Age = 1e9
+    servers_revision: Ordinal = 0
+    servers_seen_revision: Ordinal = 0
+    servers_age: Age = 1e9
+    servers_late_removals: Ordinal = 0
     is_cut_off: bool = False
     accepts_handovers: bool = False
-    configuration_version: int | None = None
-    store_era: int | None = None
+    configuration_version: Ordinal | None = None
+    store_era: Era | None = None
 
     @property
     def knows_eras(self) -> bool:
--- a/packages/gateway/crocusbay_gateway/state/server.py
+++ b/packages/gateway/crocusbay_gateway/state/server.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from crocusbay_gateway.state.ranges import Count, Name, Ordinal, Period
+
 
 class ServerEntry(msgspec.Struct, frozen=True):
     """Describe a server, or its removal, at one revision of the registry (seconds).
@@ -14,16 +16,16 @@
     time, counted from when the entry was written.
     """
 
-    name: str
-    revision: int
-    service: str = ""
-    address: str = ""
-    data_centre: str = msgspec.field(default="", name="place")
-    slots: int = 1
+    name: Name
+    revision: Ordinal
+    service: Name = ""
+    address: Name = ""
+    data_centre: Name = msgspec.field(default="", name="place")
+    slots: Count = 1
     is_draining: bool = False
     is_removed: bool = msgspec.field(default=False, name="is_gone")
-    warm_up_time: float = msgspec.field(default=0.0, name="cold_time")
-    started_at: int = 0
+    warm_up_time: Period = msgspec.field(default=0.0, name="cold_time")
+    started_at: Ordinal = 0
 
     @property
     def is_usable(self) -> bool:
--- a/packages/gateway/crocusbay_gateway/state/store_revision.py
+++ b/packages/gateway/crocusbay_gateway/state/store_revision.py
@@ -8,6 +8,7 @@
 
 FIRST_ERA = 1
 _NUMBER_BITS = 40
+MAX_NUMBER = (1 << _NUMBER_BITS) - 1
 
 
 def make_revision(era: int, number: int) -> int:
@@ -36,7 +37,7 @@
     >>> number_of(make_revision(3, 57))
     57
     """
-    return revision & ((1 << _NUMBER_BITS) - 1)
+    return revision & MAX_NUMBER
 
 
 def format_revision(revision: int) -> str:
--- a/packages/gateway/crocusbay_gateway/transport/caller_server.py
+++ b/packages/gateway/crocusbay_gateway/transport/caller_server.py
@@ -53,7 +53,7 @@
         self.has_stopped_reading = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server
-        self._tasks: anyio.abc.TaskGroup
+        self._spawn: Callable
 
     @property
     def requests_in_progress(self) -> int:
@@ -63,10 +63,10 @@
         """
         return sum(connection.is_in_use for connection in self.connections)
 
-    async def start(self, address: str, tasks: anyio.abc.TaskGroup) -> None:
-        """Listen on ip:port and run connections in the task group; raise OSError."""
+    async def start(self, address: str, spawn: Callable) -> None:
+        """Listen on ip:port and run connections with `spawn`; raise OSError."""
         ip, port = split_address(address)
-        self._tasks = tasks
+        self._spawn = spawn
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(self),
@@ -86,7 +86,7 @@
     def start_connection(self, connection: "CallerConnection") -> None:
         """Start the task of a new connection."""
         self.connections.add(connection)
-        self._tasks.start_soon(connection.run)
+        self._spawn(connection.run)
 
     def start_leaving(self) -> None:
         """Send `Connection: close` with the last reply on each connection."""
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_caller.py
@@ -45,7 +45,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(timers.run)
         server = CallerServer(handler, HTTP_CONVENTIONS, timers, lambda: LIMITS)
-        await server.start("127.0.0.1:0", tasks)
+        await server.start("127.0.0.1:0", tasks.start_soon)
         yield handler, server
         server.close()
         tasks.cancel_scope.cancel()
--- a/packages/gateway/crocusbay_gateway/transport/tests/test_cut_replies.py
+++ b/packages/gateway/crocusbay_gateway/transport/tests/test_cut_replies.py
@@ -87,7 +87,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(timers.run)
         server = CallerServer(handle, HTTP_CONVENTIONS, timers, lambda: LIMITS)
-        await server.start("127.0.0.1:0", tasks)
+        await server.start("127.0.0.1:0", tasks.start_soon)
         ip, port = server.address.split(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
         writer.transport.pause_reading()
--- a/packages/standins/crocusbay_standins/emulator/hosts.py
+++ b/packages/standins/crocusbay_standins/emulator/hosts.py
@@ -86,6 +86,7 @@
                 self.gateway = make_gateway(
                     self.settings, timers, log, incarnation, tasks.start_soon
                 )
+                self.gateway.errors.subscribe(self._loop.record_unexpected_error)
                 await self.gateway.run()
                 tasks.cancel_scope.cancel()
         finally:
--- a/packages/standins/crocusbay_standins/emulator/loop.py
+++ b/packages/standins/crocusbay_standins/emulator/loop.py
@@ -59,6 +59,8 @@
         self._now = 0.0
         self._selector = _VirtualClockSelector(self._advance)
         self.unhandled_errors: list[str] = []
+        # Time from which a datagram endpoint receives until its creator goes on.
+        self.bind_delay_seconds = 0.0
         self.network = Network(self, seed, current_node.get)
         self.set_exception_handler(self._record_error)
 
@@ -109,7 +111,13 @@
         self, protocol_factory, local_addr=None, **options
     ):
         """Bind a datagram endpoint on the emulated network."""
-        return self.network.bind(protocol_factory, *local_addr)
+        endpoint = self.network.bind(protocol_factory, *local_addr)
+        await asyncio.sleep(self.bind_delay_seconds)
+        return endpoint
+
+    def record_unexpected_error(self, task: str, error: Exception) -> None:
+        """Record an error that a host has caught."""
+        self.unhandled_errors.append(f"{task}: {error!r}")
 
     def _wrap_callback(self, callback: Callable, context: Context) -> Callable:
         node = context.get(current_node)
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -21,14 +21,14 @@
     WAIT_MS_PARAMETER,
     WATCH_PARAMETER,
 )
-from crocusbay_platform.servers import encode_server_entry
-from crocusbay_platform.store import (
+from crocusbay_platform.objects import (
     ChangeEvent,
     ChangeList,
     ObjectMetadata,
     ObjectPage,
     StoredObject,
 )
+from crocusbay_platform.servers import encode_server_entry
 from crocusbay_standins.soak.tcp_server import listen
 
 PAGE_SIZE_OBJECTS = 50
@@ -100,7 +100,11 @@
 
     def put_raw_configuration(self, spec: bytes) -> None:
         """Write the configuration object with any content."""
-        self._put(CONFIGURATION_KIND, CONFIGURATION_NAME, msgspec.Raw(spec))
+        self.put_raw(CONFIGURATION_KIND, CONFIGURATION_NAME, spec)
+
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object with any content, as another writer may."""
+        self._put(kind, name, msgspec.Raw(spec))
 
     def put_server(self, entry: ServerEntry, seq: int) -> None:
         """Write the entry of a server, except in an outage or if it is unchanged."""
