Check what hosts state to each other, and know the own address before answering

Nothing checked what a heartbeat, a view or a query stated: times that are not a number, negative ages, revisions beyond 63 bits. Ruled out: a lost race in the test only; with the endpoint open for 0.5 s before the start goes on, each restart of a host shows it. Change: the address is known before the endpoint opens.

--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -56,7 +56,6 @@
         spawn: Callable,
     ) -> None:
         self.seed_ips: tuple[str, ...] = ()
-        self.address = ""
         self._membership = membership
         self._configuration = configuration
         self._servers = servers
@@ -82,9 +81,14 @@
             on_disconnect,
         )
 
+    @property
+    def address(self) -> str:
+        """Return the address at which other hosts reach this one (ip:port)."""
+        return self._endpoint.address
+
     async def start(self, ip: str, port: int) -> None:
         """Listen for messages of other hosts."""
-        self.address = await self._endpoint.start(ip, port)
+        await self._endpoint.start(ip, port)
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the next hosts, and regularly to seeds that are not live.
@@ -195,12 +199,19 @@
             self._configuration.version,
         )
         try:
-            response = await fetch_view(status.peer_address, query)
+            response, problems = await fetch_view(status.peer_address, query)
         except (OSError, TimeoutError, ValueError) as error:
             self._log.warning("view-not-fetched", peer=status.name, reason=str(error))
             return
         finally:
             self._is_fetching = False
+        if problems:
+            self._log.warning(
+                "view-entries-ignored",
+                peer=status.name,
+                entries=len(problems),
+                reason=problems[0],
+            )
         now = self._timers.now()
         previous = self._configuration.revision, self._servers.cursor
         self._configuration.update(
--- a/packages/gateway/crocusbay_gateway/transport/peer.py
+++ b/packages/gateway/crocusbay_gateway/transport/peer.py
@@ -14,18 +14,22 @@
 import anyio
 import msgspec
 
-from crocusbay.state import split_address
+from crocusbay.state import split_address, split_server_address
 from crocusbay_gateway.protocol import (
     HandoverCancel,
     HandoverReply,
     HandoverRequest,
     Heartbeat,
+    KnownHost,
     RelayCancel,
     RelayQuery,
     RelayResponse,
     ViewQuery,
     ViewResponse,
+    decode_message,
+    decode_view,
 )
+from crocusbay_gateway.state import HostStatus
 
 FETCH_TIMEOUT_SECONDS = 1.5
 MAX_VIEW_BYTES = 16 * 1024 * 1024
@@ -41,7 +45,6 @@
 _query_decoder = msgspec.msgpack.Decoder(
     ViewQuery | RelayQuery | RelayCancel | HandoverRequest | HandoverCancel
 )
-_view_decoder = msgspec.msgpack.Decoder(ViewResponse)
 _relay_response_decoder = msgspec.msgpack.Decoder(RelayResponse)
 _handover_reply_decoder = msgspec.msgpack.Decoder(HandoverReply)
 _encoder = msgspec.msgpack.Encoder()
@@ -101,8 +104,8 @@
             content = bytes(self._received[LENGTH_PREFIX_BYTES:end])
             del self._received[:end]
             try:
-                message = self._decoder.decode(content)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                message = decode_message(self._decoder, content)
+            except ValueError as error:
                 self._reject(str(error))
                 return
             self._on_message(self, message)
@@ -139,6 +142,7 @@
         on_lost: Callable[[FrameConnection], None],
     ) -> None:
         self.sent_bytes = 0
+        self.address = ""
         self._on_heartbeat = on_heartbeat
         self._answer_view_query = answer_view_query
         self._on_query = on_query
@@ -148,7 +152,10 @@
         self._server: asyncio.Server
 
     async def start(self, ip: str, port: int) -> str:
-        """Listen on one port over UDP and TCP; return the bound address as ip:port."""
+        """Listen on one port over UDP and TCP; return `address` (ip:port).
+
+        Heartbeats may be received, and answered with the address, before the end.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: FrameConnection(
@@ -159,8 +166,9 @@
             family=socket.AF_INET,
         )
         bound_port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{ip}:{bound_port}"
         await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, bound_port))
-        return f"{ip}:{bound_port}"
+        return self.address
 
     def close(self) -> None:
         """Close the UDP and the TCP socket."""
@@ -181,11 +189,18 @@
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode a heartbeat (called by the event loop)."""
         try:
-            heartbeat = _heartbeat_decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            heartbeat = decode_message(_heartbeat_decoder, data)
+            split_server_address(heartbeat.sender.peer_address)
+        except ValueError as error:
             self._on_malformed(f"heartbeat from {address[0]}: {error}")
             return
-        self._on_heartbeat(heartbeat)
+        self._on_heartbeat(
+            msgspec.structs.replace(
+                heartbeat,
+                known_hosts=tuple(filter(_is_reachable, heartbeat.known_hosts)),
+                remote_hosts=tuple(filter(_is_reachable, heartbeat.remote_hosts)),
+            )
+        )
 
     def error_received(self, error: OSError) -> None:
         """Ignore send errors; missing heartbeats reveal an unreachable host."""
@@ -198,6 +213,15 @@
             self._on_query(connection, query)
 
 
+def _is_reachable(host: KnownHost | HostStatus) -> bool:
+    """Return whether the address of a host is well-formed."""
+    try:
+        split_server_address(host.peer_address)
+    except ValueError:
+        return False
+    return True
+
+
 async def connect_relay(
     address: str,
     on_response: Callable[[FrameConnection, RelayResponse], None],
@@ -231,8 +255,13 @@
     return connection
 
 
-async def fetch_view(address: str, query: ViewQuery) -> ViewResponse:
-    """Return another host's view; raise OSError, TimeoutError or ValueError."""
+async def fetch_view(
+    address: str, query: ViewQuery
+) -> tuple[ViewResponse, tuple[str, ...]]:
+    """Return another host's view, and why some of its entries can't be used.
+
+    Raise OSError, TimeoutError or ValueError.
+    """
     ip, port = split_address(address)
     with anyio.fail_after(FETCH_TIMEOUT_SECONDS):
         reader, writer = await asyncio.open_connection(ip, port)
@@ -246,6 +275,6 @@
         decompressed = decompressor.decompress(data, MAX_VIEW_BYTES)
         if not decompressor.eof:
             raise ValueError(f"view from {address} is cut off or too large")
-        return _view_decoder.decode(decompressed)
-    except (zlib.error, msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_view(decompressed)
+    except (zlib.error, ValueError) as error:
         raise ValueError(f"malformed view from {address}: {error}") from error
