Let odd objects, peers and clock headers cost themselves alone in the own interface

Cause: in the product's own interface, as in the gateway, a list was decoded as a whole, so an object nested deeply, or one upstream of a status that could not be decoded, kept the hosts from following it. An upstream with a malformed address ended the task of a connection, and with it the process. A caller's clock header with a counter beyond 64 bits was observed, and ended the host when it was sent on to peers. Ruled out: that the gateway's adapter covers it (the own interface has a client and peers of its own). Change: lists are decoded item by item if need be (protocol/lists.py); names, versions and stamps have ranges; members, hosts and upstreams without a usable address are left out, with a log line; errors end the task, the message or the heartbeat round that they occurred in (supervision.py). Conclusion: both interfaces keep to the same rule.

--- a/packages/core/crocusbay/coordination/metrics.py
+++ b/packages/core/crocusbay/coordination/metrics.py
@@ -57,6 +57,11 @@
         self.bad_messages = self._counter(
             "crocusbay_bad_peer_messages", "Peer messages that were malformed"
         )
+        self.unexpected_errors = self._counter(
+            "crocusbay_unexpected_errors",
+            "Errors that ended a task, a message or a timer",
+            "task",
+        )
         self.peer_bytes = self._counter(
             "crocusbay_peer_bytes", "Bytes of messages sent to other hosts"
         )
--- a/packages/core/crocusbay/coordination/peering.py
+++ b/packages/core/crocusbay/coordination/peering.py
@@ -56,7 +56,10 @@
         quarantine.subscribe(self.send_heartbeats)
         self._seeds = setup.seeds
         self._listener = PeerListener(
-            setup.peer_address, self._handle_message, self._count_malformed
+            setup.peer_address,
+            self._handle_message,
+            self._count_malformed,
+            context.timers.on_error,
         )
         self._senders_by_address: dict[str, PeerSender] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -93,12 +96,19 @@
                 async for _ in self._context.timers.every(
                     HEARTBEAT_INTERVAL_SECONDS, jitter=0.1
                 ):
-                    self._expire_members()
-                    self._close_stale_senders()
-                    self.send_heartbeats()
+                    self._maintain_members()
             finally:
                 self._close()
 
+    def _maintain_members(self) -> None:
+        """Update the members and send heartbeats; an error ends this round only."""
+        try:
+            self._expire_members()
+            self._close_stale_senders()
+            self.send_heartbeats()
+        except Exception as error:
+            self._context.timers.on_error("heartbeats", error)
+
     def send_heartbeats(self) -> None:
         """Send a heartbeat to every known host immediately."""
         heartbeat = self._make_heartbeat(
--- a/packages/core/crocusbay/protocol/peer.py
+++ b/packages/core/crocusbay/protocol/peer.py
@@ -1,8 +1,11 @@
 """Messages between hosts."""
 
 import msgspec
+from expression import Error, Ok, Result
 
-from crocusbay.state import Member, Stamp
+from crocusbay.protocol.codec import from_msgpack
+from crocusbay.protocol.platform import Key
+from crocusbay.state import Member, Name, Ordinal, Stamp, split_server_address
 
 MAX_PEER_MESSAGE_BYTES = 8 * 1024 * 1024
 
@@ -10,10 +13,10 @@
 class CrashReport(msgspec.Struct, frozen=True, tag=False):
     """Report that a request crashed one server of a service, `age_ms` ago."""
 
-    fingerprint: str
-    service: str
-    upstream: str
-    age_ms: int = 0
+    fingerprint: Name
+    service: Name
+    upstream: Name
+    age_ms: Ordinal = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
@@ -31,8 +34,8 @@
 class ReplicatedObject(msgspec.Struct, frozen=True):
     """Object of the platform sent between hosts; the value is the platform's JSON."""
 
-    key: str
-    version: int
+    key: Key
+    version: Ordinal
     value: bytes
 
 
@@ -41,7 +44,7 @@
 
     sender: Member
     stamp: Stamp
-    after: int
+    after: Ordinal
 
 
 class GiveObjects(msgspec.Struct, frozen=True, tag=True):
@@ -49,8 +52,35 @@
 
     sender: Member
     stamp: Stamp
-    revision: int
+    revision: Ordinal
     objects: tuple[ReplicatedObject, ...]
 
 
 PeerMessage = Heartbeat | WantObjects | GiveObjects
+
+
+def decode_peer_message(data: bytes) -> Result[PeerMessage, str]:
+    """Return a message without the members that can't be reached.
+
+    Return the reason if it is malformed, or its sender can't be reached.
+    """
+    decoded = from_msgpack(data, PeerMessage)
+    if decoded.is_error():
+        return decoded
+    message = decoded.ok
+    try:
+        split_server_address(message.sender.peer_address)
+    except ValueError as error:
+        return Error(str(error))
+    if isinstance(message, Heartbeat):
+        members = tuple(filter(_is_reachable, message.members))
+        message = msgspec.structs.replace(message, members=members)
+    return Ok(message)
+
+
+def _is_reachable(member: Member) -> bool:
+    try:
+        split_server_address(member.peer_address)
+    except ValueError:
+        return False
+    return True
--- a/packages/core/crocusbay/protocol/platform.py
+++ b/packages/core/crocusbay/protocol/platform.py
@@ -1,16 +1,21 @@
 """Messages of the platform's object API."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from crocusbay.state import Name, Ordinal
+
+Key = Annotated[str, msgspec.Meta(max_length=1_024)]
+
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """Object as stored; its version is the store's revision at its last write."""
 
-    key: str
-    version: int
+    key: Key
+    version: Ordinal
     value: msgspec.Raw
 
 
@@ -18,7 +23,7 @@
 class ObjectList:
     """List changed objects, complete up to a revision."""
 
-    revision: int
+    revision: Ordinal
     objects: tuple[StoredObject, ...] = ()
 
 
@@ -26,10 +31,10 @@
 class ListedHost:
     """Describe one host in the platform's list, which lags behind its state."""
 
-    name: str
-    place: str
-    caller_address: str
-    peer_address: str
+    name: Name
+    place: Name
+    caller_address: Name
+    peer_address: Name
     is_leaving: bool = False
 
 
--- a/packages/core/crocusbay/protocol/tests/test_peer.py
+++ b/packages/core/crocusbay/protocol/tests/test_peer.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from crocusbay.protocol import from_msgpack, to_msgpack
@@ -8,6 +10,7 @@
     PeerMessage,
     ReplicatedObject,
     WantObjects,
+    decode_peer_message,
 )
 from crocusbay.state import Load, Member, Stamp
 
@@ -43,3 +46,26 @@
 )
 def test_malformed_message_returns_error(data):
     assert from_msgpack(data, PeerMessage).is_error()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"peer_address": ""},
+        {"peer_address": "foo:81"},
+        {"peer_address": "10.0.0.1:0"},
+        {"name": "n" * 1_000},
+        {"incarnation": 2**64 - 1},
+        {"beat": -1},
+    ],
+)
+def test_member_that_cannot_be_used_is_ignored(fields):
+    odd = replace(MEMBER, **fields)
+    assert decode_peer_message(to_msgpack(Heartbeat(odd, STAMP))).is_error()
+    decoded = decode_peer_message(to_msgpack(Heartbeat(MEMBER, STAMP, (MEMBER, odd))))
+    assert decoded.is_error() or decoded.ok.members == (MEMBER,)
+
+
+def test_stamp_out_of_range_is_malformed():
+    message = Heartbeat(MEMBER, Stamp(7, 2**64 - 1))
+    assert decode_peer_message(to_msgpack(message)).is_error()
--- a/packages/core/crocusbay/state/__init__.py
+++ b/packages/core/crocusbay/state/__init__.py
@@ -11,6 +11,7 @@
 from crocusbay.state.event import Event, EventKind, Timeline, merge_events
 from crocusbay.state.index import IndexStatus, Shard, Snapshot
 from crocusbay.state.member import Load, Member
+from crocusbay.state.ranges import Name, Ordinal
 from crocusbay.state.stamp import HybridClock, Stamp, parse_stamp
 from crocusbay.state.upstream import (
     Upstream,
@@ -33,7 +34,9 @@
     "MayHaveRun",
     "Member",
     "MissingService",
+    "Name",
     "NotRun",
+    "Ordinal",
     "Policy",
     "Ran",
     "Service",
--- a/packages/core/crocusbay/protocol/json_spans.py
+++ b/packages/core/crocusbay/state/json_spans.py
@@ -5,7 +5,8 @@
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
 
 _SPACE = re.compile(rb"[ \t\r\n]*+")
 _STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"', re.DOTALL)
@@ -38,6 +39,25 @@
     return members
 
 
+def decode_each(
+    spans: list[bytes], decode: Callable[[bytes], Any]
+) -> tuple[tuple, tuple[str, ...]]:
+    """Return what can be decoded, and why the rest can't.
+
+    `decode` raises ValueError for what can't be decoded.
+
+    >>> decode_each([b"1", b"x", b"2"], int)
+    ((1, 2), ("invalid literal for int() with base 10: b'x'",))
+    """
+    decoded, problems = [], []
+    for span in spans:
+        try:
+            decoded.append(decode(span))
+        except ValueError as error:
+            problems.append(str(error))
+    return tuple(decoded), tuple(problems)
+
+
 def _elements(
     text: bytes, opening: bytes, closing: bytes, *, has_names: bool = False
 ) -> Iterator[tuple[int, int]]:
--- a/packages/core/crocusbay/state/member.py
+++ b/packages/core/crocusbay/state/member.py
@@ -2,13 +2,15 @@
 
 from dataclasses import dataclass
 
+from crocusbay.state.ranges import Name, Ordinal
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
     """Number of requests that a host is running, and its limit."""
 
-    running: int = 0
-    limit: int = 1
+    running: Ordinal = 0
+    limit: Ordinal = 1
 
     @property
     def headroom(self) -> float:
@@ -24,14 +26,14 @@
     beat within it, replaces an older description.
     """
 
-    name: str
-    place: str
-    caller_address: str
-    peer_address: str
-    incarnation: int
-    beat: int = 0
+    name: Name
+    place: Name
+    caller_address: Name
+    peer_address: Name
+    incarnation: Ordinal
+    beat: Ordinal = 0
     is_leaving: bool = False
-    revision: int = 0
+    revision: Ordinal = 0
     load: Load = Load()
 
     def is_newer_than(self, other: "Member") -> bool:
--- a/packages/core/crocusbay/state/stamp.py
+++ b/packages/core/crocusbay/state/stamp.py
@@ -1,16 +1,22 @@
 """Hybrid logical clock: orders the events of many processes causally."""
 
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from crocusbay.state.ranges import Ordinal
+
+# Such numbers, and their successors, fit into messages between hosts.
+_STAMP = re.compile(r"([0-9]{1,18})-([0-9]{1,18})")
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Stamp:
     """Timestamp: wall time in microseconds, then a logical counter."""
 
-    micros: int
-    counter: int = 0
+    micros: Ordinal
+    counter: Ordinal = 0
 
     def __str__(self) -> str:
         return f"{self.micros}-{self.counter}"
@@ -24,10 +30,8 @@
     >>> parse_stamp("yesterday") is None
     True
     """
-    micros, dash, counter = text.partition("-")
-    if not (dash and micros.isdecimal() and counter.isdecimal()):
-        return None
-    return Stamp(int(micros), int(counter))
+    match = _STAMP.fullmatch(text)
+    return Stamp(int(match[1]), int(match[2])) if match else None
 
 
 def _wall_micros() -> int:
@@ -35,6 +39,8 @@
 
 
 MAX_CLOCK_SKEW_MICROS = 60_000_000
+# More than a clock issues in a minute; leaves room for those that follow.
+MAX_COUNTER = 10**12
 
 
 class HybridClock:
@@ -59,4 +65,6 @@
             return
         if stamp.micros - self._wall() > MAX_CLOCK_SKEW_MICROS:
             return
+        if stamp.counter > MAX_COUNTER:
+            return
         self._last = stamp
--- a/packages/core/crocusbay/state/upstream.py
+++ b/packages/core/crocusbay/state/upstream.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from crocusbay.state.ranges import Name
+
 MAX_PORT = 65_535
 MAX_SHOWN_CHARACTERS = 60
 
@@ -15,10 +17,10 @@
 class Upstream:
     """Describe one server of a service."""
 
-    name: str
-    service: str
-    place: str
-    address: str
+    name: Name
+    service: Name
+    place: Name
+    address: Name
     is_leaving: bool = False
 
 
--- a/packages/core/crocusbay/transport/peer_messaging.py
+++ b/packages/core/crocusbay/transport/peer_messaging.py
@@ -6,8 +6,12 @@
 import anyio
 import pynng
 
-from crocusbay.protocol.codec import from_msgpack, to_msgpack
-from crocusbay.protocol.peer import MAX_PEER_MESSAGE_BYTES, PeerMessage
+from crocusbay.protocol.codec import to_msgpack
+from crocusbay.protocol.peer import (
+    MAX_PEER_MESSAGE_BYTES,
+    PeerMessage,
+    decode_peer_message,
+)
 
 MAX_QUEUED_MESSAGES = 64
 SEND_TIMEOUT_MS = 1_000
@@ -23,8 +27,10 @@
         address: str,
         on_message: Callable[[PeerMessage], None],
         on_malformed: Callable[[str], None],
+        on_error: Callable[[str, Exception], None],
     ) -> None:
         self._on_message = on_message
+        self._on_error = on_error
         self._on_malformed = on_malformed
         self._socket = pynng.Pull0(recv_max_size=MAX_PEER_MESSAGE_BYTES)
         listener = self._socket.listen(f"tcp://{address}")
@@ -49,11 +55,14 @@
         self._socket.close()
 
     def _dispatch(self, data: bytes) -> None:
-        decoded = from_msgpack(data, PeerMessage)
+        decoded = decode_peer_message(data)
         if decoded.is_error():
             self._on_malformed(decoded.error)
-        else:
+            return
+        try:
             self._on_message(decoded.ok)
+        except Exception as error:
+            self._on_error("peer message", error)
 
 
 class PeerSender:
--- a/packages/core/crocusbay/transport/platform.py
+++ b/packages/core/crocusbay/transport/platform.py
@@ -1,9 +1,13 @@
 """Client of the platform's object API."""
 
+from collections.abc import Callable
+
 import httpx
+import logbook
 from expression import Error, Ok, Result
 
 from crocusbay.protocol.codec import from_json
+from crocusbay.protocol.lists import decode_hosts, decode_objects
 from crocusbay.protocol.platform import (
     Conflicted,
     HostList,
@@ -22,6 +26,8 @@
 MAX_OBJECT_BYTES = 1_000_000
 VERSION_HEADER = "crocusbay-if-version"
 
+_log = logbook.Logger("crocusbay.platform")
+
 
 class PlatformClient:
     """Call the platform; failures are values that say what may have been written."""
@@ -50,7 +56,7 @@
     ) -> Result[ObjectList, str]:
         """Return the objects with the prefixes changed after a revision."""
         result = await self._get("/objects", prefix=prefixes, after=after)
-        return result.bind(lambda response: _decode(response, ObjectList))
+        return result.bind(lambda response: _decode_list(response, decode_objects))
 
     async def watch(
         self, prefixes: tuple[str, ...], after: int
@@ -63,12 +69,12 @@
             after=after,
             wait_ms=int(WATCH_TIMEOUT_SECONDS * 1000),
         )
-        return result.bind(lambda response: _decode(response, ObjectList))
+        return result.bind(lambda response: _decode_list(response, decode_objects))
 
     async def list_hosts(self) -> Result[HostList, str]:
         """Return the platform's list of hosts, which lags behind their state."""
         result = await self._get("/hosts")
-        return result.bind(lambda response: _decode(response, HostList))
+        return result.bind(lambda response: _decode_list(response, decode_hosts))
 
     async def write(self, key: str, value: bytes, if_version: int) -> WriteResult:
         """Write an object if its version is `if_version`, where 0 means absent."""
@@ -114,6 +120,17 @@
     return from_json(response.content, target_type)
 
 
+def _decode_list(response: httpx.Response, decode: Callable) -> Result:
+    """Return a list, and log why some of its items can't be used."""
+    try:
+        items, problems = decode(response.content)
+    except ValueError as error:
+        return Error(str(error))
+    for problem in problems:
+        _log.error("item-ignored", path=response.url.path, fault=problem)
+    return Ok(items)
+
+
 def _to_write_result(response: httpx.Response) -> WriteResult:
     match response.status_code:
         case httpx.codes.OK:
--- a/packages/core/crocusbay/transport/supervision.py
+++ b/packages/core/crocusbay/transport/supervision.py
@@ -24,7 +24,7 @@
         self._timers = timers
         self._on_error = on_error
 
-    def start(self, task: Task, *args) -> None:
+    def start_soon(self, task: Task, *args) -> None:
         """Start a task, such as of one connection; an error ends it."""
         self._spawn(self._run, task, args)
 
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -165,7 +165,7 @@
             self._conventions,
             settings.bounds,
             self.timers,
-            supervisor.start,
+            supervisor.start_soon,
         )
         self.crash_monitor = CrashMonitor(
             Quarantine(),
@@ -195,7 +195,7 @@
             self.server_statements,
             self.log,
             self.metrics,
-            RelayClients(self.membership, self.timers, self.log, supervisor.start),
+            RelayClients(self.membership, self.timers, self.log, supervisor.start_soon),
         )
         self.request_service = RequestService(
             context,
@@ -203,7 +203,7 @@
             self.servers,
             settings.cores,
             self.handover,
-            supervisor.start,
+            supervisor.start_soon,
             self.errors.record,
         )
         self.server_prober = ServerProber(
@@ -247,13 +247,13 @@
             self.request_service.handle_peer_disconnect,
             self.log,
             self.timers,
-            supervisor.start,
+            supervisor.start_soon,
         )
         self.peering.seed_ips = settings.seed_ips
 
     async def _listen(self, supervisor: Supervisor) -> None:
         settings = self.settings
-        await self.caller_server.start(settings.caller_address, supervisor.start)
+        await self.caller_server.start(settings.caller_address, supervisor.start_soon)
         await self.peering.start(settings.ip, settings.peer_port)
         await serve_pages(settings.readiness_address, self._readiness_page)
         await serve_pages(settings.entry_address, self._entry_page)
--- a/packages/gateway/crocusbay_gateway/protocol/handover.py
+++ b/packages/gateway/crocusbay_gateway/protocol/handover.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from crocusbay_gateway.state import Age, Ordinal, Reply
+from crocusbay.state import Ordinal
+from crocusbay_gateway.state import RemainingTime, Reply
 
 
 class HandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag="request"):
@@ -20,7 +21,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     caller_ip: str
-    remaining_time: Age | None
+    remaining_time: RemainingTime | None
 
 
 class HandoverCancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -2,15 +2,13 @@
 
 import msgspec
 
-from crocusbay.state import split_server_address
+from crocusbay.state import Name, Ordinal, split_server_address
 from crocusbay_gateway.protocol.decoding import decode_message
 from crocusbay_gateway.state import (
     Age,
     Configuration,
     Count,
     HostStatus,
-    Name,
-    Ordinal,
     Rate,
     ServerEntry,
 )
--- a/packages/gateway/crocusbay_gateway/protocol/relay.py
+++ b/packages/gateway/crocusbay_gateway/protocol/relay.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from crocusbay.state import Cause
-from crocusbay_gateway.state import Age, Count, Name, Ordinal, Period
+from crocusbay.state import Cause, Name, Ordinal
+from crocusbay_gateway.state import Age, Count, Period, RemainingTime
 
 
 class RelayedSubRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +30,7 @@
     host: str
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    remaining_time: Age
+    remaining_time: RemainingTime
     flush_after: Period
     top_k: Count
     sub_requests: tuple[RelayedSubRequest, ...]
--- a/packages/gateway/crocusbay_gateway/state/configuration.py
+++ b/packages/gateway/crocusbay_gateway/state/configuration.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from crocusbay_gateway.state.ranges import Count, Name, Ordinal, Period, Rate
+from crocusbay.state import Name, Ordinal
+from crocusbay_gateway.state.ranges import Count, Period, Rate
 
 
 class RouteKind(StrEnum):
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from crocusbay_gateway.state.ranges import Age, Era, Name, Ordinal, Period, Rate
+from crocusbay.state import Name, Ordinal
+from crocusbay_gateway.state.ranges import Age, Era, Period, Rate
 
 
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/gateway/crocusbay_gateway/state/server.py
+++ b/packages/gateway/crocusbay_gateway/state/server.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from crocusbay_gateway.state.ranges import Count, Name, Ordinal, Period
+from crocusbay.state import Name, Ordinal
+from crocusbay_gateway.state.ranges import Count, Period
 
 
 class ServerEntry(msgspec.Struct, frozen=True):
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -22,6 +22,7 @@
 )
 from crocusbay.protocol import from_json
 from crocusbay.protocol.caller import EntryReply, HostStatus, UpstreamView
+from crocusbay.protocol.lists import decode_upstreams
 from crocusbay.protocol.platform import StoredObject
 from crocusbay.state import (
     Deployment,
@@ -40,7 +41,13 @@
     upstreams_key,
 )
 from crocusbay.state.settings import Settings
-from crocusbay.transport import PlatformClient, TimerService, open_listener, serve
+from crocusbay.transport import (
+    PlatformClient,
+    Supervisor,
+    TimerService,
+    open_listener,
+    serve,
+)
 
 HOST_COUNT_INTERVAL_SECONDS = 0.5
 
@@ -61,6 +68,7 @@
             Timeline(settings.name, clock),
             Metrics(),
         )
+        self.context.timers.on_error = self._report_error
         self.quarantine = Quarantine(self.context.timers.now)
         self.orders: OrderCoordinator
         self.caller_address = ""
@@ -72,7 +80,7 @@
         self._listener: socket.socket
         self._peering: Peering
         self._replication: Replication
-        self._tasks: anyio.abc.TaskGroup
+        self._tasks: Supervisor
         self._leaving = anyio.Event()
 
     async def run(self, app, on_started) -> None:
@@ -94,7 +102,12 @@
             self.quarantine,
             self._current_load,
         )
-        async with anyio.create_task_group() as self._tasks:
+        async with anyio.create_task_group() as tasks:
+            self._tasks = Supervisor(
+                tasks.start_soon, self.context.timers, self._report_error
+            )
+            # An error of the timers themselves ends the process, others their task.
+            tasks.start_soon(self.context.timers.run)
             self.orders = OrderCoordinator(self._platform, self.context, self._tasks)
             self._start_tasks()
             self._record(EventKind.HOST_STARTED)
@@ -103,7 +116,7 @@
                 app, self._listener, self._wait_for_shutdown, self.settings.drain_limit
             )
             self._record(EventKind.HOST_STOPPED)
-            self._tasks.cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
         await self._platform.close()
 
     @property
@@ -166,11 +179,14 @@
             self._peering,
             self.context,
         )
-        self._tasks.start_soon(self.context.timers.run)
+        # It closes its sockets at its end, so it is not started again.
         self._tasks.start_soon(self._peering.run)
-        self._tasks.start_soon(self._replication.replicate_objects)
-        self._tasks.start_soon(self._replication.poll_host_list)
-        self._tasks.start_soon(self._update_host_count)
+        for service in (
+            self._replication.replicate_objects,
+            self._replication.poll_host_list,
+            self._update_host_count,
+        ):
+            self._tasks.start_service(service)
 
     async def _update_host_count(self) -> None:
         """Divide connection limits among the known hosts, at regular intervals."""
@@ -198,20 +214,49 @@
         if stored.key.startswith(CONFIG_PREFIX):
             self._decode_and_apply(stored, Deployment, self._set_config)
         elif stored.key.startswith(UPSTREAMS_PREFIX):
-            self._decode_and_apply(stored, UpstreamStatus, self._set_upstreams)
+            self._apply_upstreams(stored)
         elif stored.key.startswith(INDEX_PREFIX):
             self._decode_and_apply(stored, IndexStatus, self._set_index)
         self.context.metrics.revision.set(stored.version)
 
+    def _apply_upstreams(self, stored: StoredObject) -> None:
+        """Apply a list of servers without those that can't be used."""
+        try:
+            status, problems = decode_upstreams(bytes(stored.value))
+        except ValueError as error:
+            self._reject_object(stored, str(error))
+            return
+        for problem in problems:
+            _log.error("upstream-ignored", key=stored.key, fault=problem)
+            self.context.metrics.bad_messages.inc()
+        self._set_upstreams(stored, status)
+        self._record_applied(stored)
+
+    def _reject_object(self, stored: StoredObject, fault: str) -> None:
+        _log.error("object-malformed", key=stored.key, fault=fault)
+        self.context.metrics.bad_messages.inc()
+
+    def _record_applied(self, stored: StoredObject) -> None:
+        detail = f"{stored.key} version {stored.version}"
+        self._record(EventKind.CONFIG_APPLIED, detail=detail)
+
+    def _report_error(self, task: str, error: Exception) -> None:
+        """Report an error that ended a task, a message or a timer."""
+        self.context.metrics.unexpected_errors.labels(task).inc()
+        _log.error(
+            "unexpected-error",
+            task=task,
+            fault=repr(error),
+            exc_info=(type(error), error, error.__traceback__),
+        )
+
     def _decode_and_apply(self, stored: StoredObject, target_type: type, apply) -> None:
         decoded = from_json(bytes(stored.value), target_type)
         if decoded.is_error():
-            _log.error("object-malformed", key=stored.key, fault=decoded.error)
-            self.context.metrics.bad_messages.inc()
+            self._reject_object(stored, decoded.error)
             return
         apply(stored, decoded.ok)
-        detail = f"{stored.key} version {stored.version}"
-        self._record(EventKind.CONFIG_APPLIED, detail=detail)
+        self._record_applied(stored)
 
     def _set_config(self, stored: StoredObject, config: Deployment) -> None:
         runtime = self.runtime_by_name.get(config.name)
