--- a/conftest.py
+++ b/conftest.py
@@ -1,11 +1,20 @@
+import os
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 # pytest would import it as platform.run, and an empty package would replace the
 # platform module of the standard library.
 collect_ignore = ["platform/run.py"]
 
+# By hand: CROCUSBAY_FUZZ=long .venv/bin/python -m pytest -k fuzzed
+settings.register_profile(
+    "short", derandomize=True, max_examples=150, deadline=None, database=None
+)
+settings.register_profile("long", max_examples=10_000, deadline=None)
+settings.load_profile(os.environ.get("CROCUSBAY_FUZZ", "short"))
+
 KNOWN_FAILURES_FILE = Path(__file__).parent / "KNOWN-RED.txt"
 
 
