Answer what a planned stop of the own interface would cut off

Cause: a planned stop waited for the drain limit, then the server cancelled what still ran; its callers got a 500 that says nothing of whether the request has run, also those whose request had only just been accepted. Ruled out: a connection closed without an answer (the HTTP server still writes a 500). Change: from the start of a stop on, each request ends shortly before the host does, and its caller gets the verdict that it may have run (504).

--- a/packages/host/crocusbay_host/app.py
+++ b/packages/host/crocusbay_host/app.py
@@ -314,7 +314,10 @@
         )
         verdict: Verdict = MayHaveRun(Cause.CANCELLED)
         try:
-            verdict = await run()
+            with self._host.end_before_stop() as scope:
+                verdict = await run()
+            if scope.cancelled_caught:
+                verdict = MayHaveRun(Cause.HOST_LEAVING)
         finally:
             seconds = now() - started
             admission.release(seconds)
--- a/packages/host/crocusbay_host/host.py
+++ b/packages/host/crocusbay_host/host.py
@@ -2,6 +2,8 @@
 
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 import logbook
@@ -50,6 +52,8 @@
 )
 
 HOST_COUNT_INTERVAL_SECONDS = 0.5
+# Left for the replies when a planned stop cancels requests.
+STOP_MARGIN_SECONDS = 0.2
 
 _log = logbook.Logger("crocusbay.host")
 
@@ -82,6 +86,9 @@
         self._replication: Replication
         self._tasks: Supervisor
         self._leaving = anyio.Event()
+        self._request_scopes: set[anyio.CancelScope] = set()
+        # Time of the event loop by which requests are answered (seconds).
+        self._answer_by = float("inf")
 
     async def run(self, app, on_started) -> None:
         """Serve until `leave` is called and requests in progress have been drained.
@@ -130,6 +137,13 @@
             return
         self._record(EventKind.HOST_LEAVING)
         self._leaving.set()
+        settings = self.settings
+        stop_time = settings.entry_lifetime + settings.drain_limit
+        self._answer_by = anyio.current_time() + max(
+            0.0, stop_time - STOP_MARGIN_SECONDS
+        )
+        for scope in self._request_scopes:
+            scope.deadline = self._answer_by
         self._peering.is_leaving = True
         self._peering.send_heartbeats()
 
@@ -152,6 +166,16 @@
         admission.limit = limit
         return admission
 
+    @contextmanager
+    def end_before_stop(self) -> Iterator[anyio.CancelScope]:
+        """Cancel a request that would not end before this host stops."""
+        with anyio.CancelScope(deadline=self._answer_by) as scope:
+            self._request_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._request_scopes.discard(scope)
+
     def status(self) -> HostStatus:
         """Return the state of this host, as shown to operators."""
         member = self._peering.local_member
--- a/packages/standins/crocusbay_standins/local_cluster.py
+++ b/packages/standins/crocusbay_standins/local_cluster.py
@@ -77,6 +77,7 @@
     upstream_processes: int = 2
     model: SimulationConfig = SimulationConfig()
     entry_lifetime: float = 2.0
+    drain_limit: float = 30.0
 
 
 class LocalCluster:
@@ -253,6 +254,7 @@
             f"[host]\nname = {name}\nplace = {self._place(number)}\n"
             f"[callers]\naddress = 127.0.0.1:0\n"
             f"entry_lifetime = {self.config.entry_lifetime}\n"
+            f"drain_limit = {self.config.drain_limit}\n"
             f"[peers]\naddress = 127.0.0.1:0\nseeds = {', '.join(seeds[:2])}\n"
             f"[platform]\naddress = {self.platform.startup_info['address']}\n"
         )
