--- a/packages/gateway/crocusbay_gateway/coordination/partial.py
+++ b/packages/gateway/crocusbay_gateway/coordination/partial.py
@@ -9,13 +9,11 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from crocusbay_gateway.state import CallerRequest, ToShards
+from crocusbay_gateway.state import ToShards
 
 # Network time to and from the caller: the request's transit, which had passed before
 # the request was read, and that of the reply.
-CALLER_ROUND_TRIP_SECONDS = 0.012
-# The same with the handshake of a new connection.
-NEW_CONNECTION_ROUND_TRIP_SECONDS = 0.02
+CALLER_ROUND_TRIP_SECONDS = 0.02
 
 
 class Decision(Enum):
@@ -53,16 +51,6 @@
         return self.give_up_at
 
 
-def partial_answer_time(request: CallerRequest, latency_goal: float) -> float:
-    """Return when a partial answer still reaches the caller within the goal."""
-    round_trip = (
-        CALLER_ROUND_TRIP_SECONDS
-        if request.is_on_used_connection
-        else NEW_CONNECTION_ROUND_TRIP_SECONDS
-    )
-    return request.received_at + latency_goal - round_trip
-
-
 def min_parts(target: ToShards) -> int:
     """Return the minimum number of parts for a successful reply.
 
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -19,9 +19,9 @@
 from crocusbay_gateway.coordination.handover_client import HandoverClient
 from crocusbay_gateway.coordination.handover_server import HandoverServer
 from crocusbay_gateway.coordination.partial import (
+    CALLER_ROUND_TRIP_SECONDS,
     PartialAnswerPolicy,
     min_parts,
-    partial_answer_time,
 )
 from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.coordination.refusal import make_refusal, reply_to_failure
@@ -344,7 +344,9 @@
         give_up_at: float,
     ) -> ScatterGatherHandler:
         policy = PartialAnswerPolicy(
-            partial_answer_at=partial_answer_time(request, route.latency_goal),
+            partial_answer_at=request.received_at
+            + route.latency_goal
+            - CALLER_ROUND_TRIP_SECONDS,
             give_up_at=give_up_at,
             shard_count=len(route.target.services),
             min_parts=min_parts(route.target),
--- a/packages/gateway/crocusbay_gateway/state/request.py
+++ b/packages/gateway/crocusbay_gateway/state/request.py
@@ -12,7 +12,6 @@
     `target` is the request target with its query, `host` is the name in the Host header
     without the port, and `headers` are the headers to forward. `deadline` is when the
     caller stops waiting, or None if the request had no deadline header.
-    `is_on_used_connection` is whether another request came before it on its connection.
     """
 
     attempt_id: str
@@ -24,7 +23,6 @@
     received_at: float
     deadline: float | None
     caller_ip: str
-    is_on_used_connection: bool = False
 
     @property
     def path(self) -> str:
--- a/packages/gateway/crocusbay_gateway/transport/caller_server.py
+++ b/packages/gateway/crocusbay_gateway/transport/caller_server.py
@@ -125,7 +125,6 @@
         self._header_bytes = 0
         self._is_receiving = False
         self._caller_ip = ""
-        self._has_received_request = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the connection's task (called by the event loop)."""
@@ -342,9 +341,7 @@
             received_at=now,
             deadline=None if deadline is None else now + deadline,
             caller_ip=self._caller_ip,
-            is_on_used_connection=self._has_received_request,
         )
-        self._has_received_request = True
         self._requests.append((request, self._keeps_alive))
         self._wake.set()
 
