Count bytes between data centres by purpose

Change: a counter by purpose (server, relay-query, relay-response, heartbeat, view) and a log line every ten seconds (remote-traffic). Handed-over requests and calls to the store are not counted yet.

--- a/packages/gateway/crocusbay_gateway/coordination/dispatch.py
+++ b/packages/gateway/crocusbay_gateway/coordination/dispatch.py
@@ -112,3 +112,4 @@
             merges_parts=merges_parts,
         )
         self._call_by_attempt.update(dict.fromkeys(group, call))
+        self._context.metrics.remote_bytes.add(call.query_bytes, "relay-query")
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -259,6 +259,14 @@
             chosen += self._remote_bridge_addresses()
         return chosen
 
+    def remote_addresses(self) -> set[str]:
+        """Return the addresses of the known hosts in other data centres."""
+        return {
+            contact.peer_address
+            for contact in self.contacts_by_name.values()
+            if contact.data_centre != self.data_centre
+        }
+
     def sample_contacts(self) -> tuple[KnownHost, ...]:
         """Return a random sample of the live hosts, as contacts for other hosts."""
         contacts = [
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -15,6 +15,7 @@
 from crocusbay_gateway.coordination.store_era import StoreEra
 from crocusbay_gateway.coordination.views import ConfigurationView, ServersView
 from crocusbay_gateway.log import EventLog
+from crocusbay_gateway.metrics import GatewayMetrics
 from crocusbay_gateway.protocol import Heartbeat, KnownHost, ViewQuery, ViewResponse
 from crocusbay_gateway.state import HostStatus
 from crocusbay_gateway.transport import FrameConnection, PeerEndpoint, fetch_view
@@ -52,6 +53,7 @@
         on_query: Callable[[FrameConnection, msgspec.Struct], None],
         on_disconnect: Callable[[FrameConnection], None],
         log: EventLog,
+        metrics: GatewayMetrics,
         timers: TimerService,
         spawn: Callable,
     ) -> None:
@@ -69,6 +71,7 @@
         self._build_status = build_status
         self._on_host_joined = on_host_joined
         self._log = log
+        self._metrics = metrics
         self._timers = timers
         self._spawn = spawn
         self._heartbeat_number = 0
@@ -79,6 +82,7 @@
             lambda reason: log.warning("malformed-peer-message", reason=reason),
             on_query,
             on_disconnect,
+            self._count_view,
         )
 
     @property
@@ -112,7 +116,17 @@
     def _send_heartbeat_to(self, addresses: list[str]) -> None:
         includes_contacts = self._heartbeat_number % CONTACTS_INTERVAL_HEARTBEATS == 1
         heartbeat = self._make_heartbeat(includes_contacts=includes_contacts)
-        self._endpoint.send_heartbeat(heartbeat, addresses)
+        self._send_to(heartbeat, addresses)
+
+    def _send_to(self, heartbeat: Heartbeat, addresses: list[str]) -> None:
+        size = self._endpoint.send_heartbeat(heartbeat, addresses)
+        remote_count = len(self._membership.remote_addresses().intersection(addresses))
+        self._metrics.remote_bytes.add(size * remote_count, "heartbeat")
+
+    def _count_view(self, ip: str, size: int) -> None:
+        remote = self._membership.remote_addresses()
+        if any(address.startswith(f"{ip}:") for address in remote):
+            self._metrics.remote_bytes.add(size, "view")
 
     def _make_heartbeat(self, *, includes_contacts: bool) -> Heartbeat:
         membership = self._membership
@@ -142,7 +156,7 @@
             self._on_host_joined()
             self._crash_monitor.share_again()
             response = self._make_heartbeat(includes_contacts=True)
-            self._endpoint.send_heartbeat(response, [status.peer_address])
+            self._send_to(response, [status.peer_address])
         for contact in heartbeat.known_hosts:
             self._membership.add_contact(contact)
         self._membership.update_data_centres(
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -121,6 +121,7 @@
         bounds: Bounds,
         timers: TimerService,
         spawn: Callable,
+        on_remote_bytes: Callable[[int], None] | None = None,
     ) -> None:
         self.by_service: dict[str, list[Server]] = {}
         self.reachability = ServerReachability()
@@ -132,6 +133,8 @@
         self._bounds = bounds
         self._timers = timers
         self._spawn = spawn
+        # Called with bytes exchanged with servers of other data centres.
+        self._on_remote_bytes = on_remote_bytes
         self._receive_budget = ReceiveBudget()
         self._by_name: dict[str, Server] = {}
         # When processes, by name and start, first stated that they leave. Their entries
@@ -323,6 +326,7 @@
                 self._expect_exit(known, self._timers.now() + drain_time)
             known.entry = entry
             return
+        is_remote = entry.data_centre != self._data_centre
         server = Server(
             entry,
             ServerPool(
@@ -334,9 +338,10 @@
                 self._receive_budget,
                 lambda is_open: self._record_connect(entry.name, is_open),
                 lambda statement: self.on_statement(server, statement),
+                self._on_remote_bytes if is_remote else None,
             ),
             ServerHealth(self._timers.now() + entry.warm_up_time),
-            is_remote=entry.data_centre != self._data_centre,
+            is_remote=is_remote,
             leaving_since=self._leaving_since.get((entry.name, entry.started_at)),
             rest_until=self._rest_until.pop(
                 (entry.name, entry.started_at), float("-inf")
--- a/packages/gateway/crocusbay_gateway/coordination/relay_call.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_call.py
@@ -46,6 +46,7 @@
         merges_parts: bool,
     ) -> None:
         self.query_id = query_id
+        self.query_bytes = 0
         self._merges_parts = merges_parts
         self._may_lack_records = False
         self.response_timer: Timer | None = None
--- a/packages/gateway/crocusbay_gateway/coordination/relay_client.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_client.py
@@ -96,7 +96,7 @@
             now + flush_after + ROUND_TRIP_SECONDS + RESPONSE_GRACE_SECONDS,
             lambda: self._handle_timeout(connection),
         )
-        connection.send(
+        call.query_bytes = connection.send(
             RelayQuery(
                 call.query_id,
                 request.attempt_id,
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -251,12 +251,17 @@
             self._context,
             message,
             *resolved,
-            connection.send,
+            lambda response: self._send(connection, response),
             lambda: handlers.pop(message.query_id, None),
         )
         handlers[message.query_id] = handler
         handler.start()
 
+    def _send(self, connection: FrameConnection, response: RelayResponse) -> None:
+        # Only hosts of other data centres use relays.
+        size = connection.send(response)
+        self._context.metrics.remote_bytes.add(size, "relay-response")
+
     def handle_disconnect(self, connection: FrameConnection) -> None:
         """Cancel the queries of a closed connection."""
         for handler in list(self._handlers_by_connection.pop(connection, {}).values()):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -67,6 +67,7 @@
             lambda connection, query: None,
             lambda connection: None,
             log,
+            metrics,
             timers,
             spawn,
         )
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_relaying.py
@@ -58,6 +58,7 @@
             message_type = RelayResponse if isinstance(message, RelayResponse) else None
             message_type = message_type or RelayQuery | RelayCancel
             self.on_message(self, msgspec.msgpack.decode(data, type=message_type))
+        return len(data)
 
     def abort(self):
         self.is_closed = True
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -49,6 +49,7 @@
 # Weight of the newest sample, one per heartbeat, in the smoothed load.
 LOAD_SMOOTHING = 0.2
 STOP_CHECK_INTERVAL_SECONDS = 0.05
+TRAFFIC_LOG_INTERVAL_SECONDS = 10.0
 # Callers may use entry addresses for up to three times this lifetime. A short lifetime
 # directs callers away from a leaving host early, and a query costs little.
 ENTRY_LIFETIME_SECONDS = 1.0
@@ -94,6 +95,7 @@
         self._store = store
         self._entry_codec = entry_codec
         self._load = 0.0
+        self._traffic_logged_at = timers.now()
         self._previous_received_count = 0
         self._gather_time = estimate_gather_time(settings.cores, settings.link_mbps)
         self._planned_stop: PlannedStop
@@ -166,6 +168,7 @@
             settings.bounds,
             self.timers,
             supervisor.start_soon,
+            lambda size: self.metrics.remote_bytes.add(size, "server"),
         )
         self.crash_monitor = CrashMonitor(
             Quarantine(),
@@ -246,6 +249,7 @@
             self.request_service.handle_peer_query,
             self.request_service.handle_peer_disconnect,
             self.log,
+            self.metrics,
             self.timers,
             supervisor.start_soon,
         )
@@ -376,11 +380,23 @@
                     "host-lost", peer=status.name, beat=status.heartbeat_number
                 )
             self.handover.close_lost()
+            self._log_remote_traffic(now)
             self._update_limit_shares()
             self.peering.send_heartbeat()
             self._set_gauges(now)
             self.log.flush()
 
+    def _log_remote_traffic(self, now: float) -> None:
+        """Log the bytes exchanged with other data centres, by purpose, at intervals."""
+        if now < self._traffic_logged_at + TRAFFIC_LOG_INTERVAL_SECONDS:
+            return
+        self._traffic_logged_at = now
+        by_labels = self.metrics.remote_bytes.by_labels
+        self.log.info(
+            "remote-traffic",
+            **{purpose: int(size) for (purpose,), size in by_labels.items()},
+        )
+
     def _update_limit_shares(self) -> None:
         """Set this host's share of limits by host count and load in the data centre."""
         peer_loads = [
--- a/packages/gateway/crocusbay_gateway/metrics.py
+++ b/packages/gateway/crocusbay_gateway/metrics.py
@@ -37,7 +37,11 @@
 
     def inc(self, *labels: str) -> None:
         """Increment a counter by one."""
-        self.by_labels[labels] = self.by_labels.get(labels, 0.0) + 1.0
+        self.add(1.0, *labels)
+
+    def add(self, amount: float, *labels: str) -> None:
+        """Increment a counter by an amount."""
+        self.by_labels[labels] = self.by_labels.get(labels, 0.0) + amount
 
     def set(self, value: float, *labels: str) -> None:
         """Set the value of a gauge."""
@@ -128,6 +132,11 @@
         self.store_calls = LabelledValue(
             "crocusbay_gateway_store_calls", "Calls to the store", "call", "result"
         )
+        self.remote_bytes = LabelledValue(
+            "crocusbay_gateway_remote_bytes",
+            "Bytes to and from servers of other data centres, and to hosts there",
+            "purpose",
+        )
         self.unexpected_errors = LabelledValue(
             "crocusbay_gateway_unexpected_errors",
             "Errors that ended a task, a message or a callback",
@@ -180,6 +189,7 @@
             (self.server_crashes, CounterMetricFamily),
             (self.quarantines, CounterMetricFamily),
             (self.store_calls, CounterMetricFamily),
+            (self.remote_bytes, CounterMetricFamily),
             (self.unexpected_errors, CounterMetricFamily),
             (self.ignored_objects, CounterMetricFamily),
             (self.members, GaugeMetricFamily),
--- a/packages/gateway/crocusbay_gateway/transport/peer.py
+++ b/packages/gateway/crocusbay_gateway/transport/peer.py
@@ -68,13 +68,24 @@
         self._received = bytearray()
         self._transport: asyncio.Transport
 
-    def send(self, message: msgspec.Struct) -> None:
-        """Send a message, or abort the connection if the other host stops reading."""
+    def send(self, message: msgspec.Struct) -> int:
+        """Send a message; return its size in bytes, or 0 if the connection is closed.
+
+        Abort the connection if the other host stops reading.
+        """
         if self.is_closed:
-            return
-        self._transport.write(encode_frame(message))
+            return 0
+        data = encode_frame(message)
+        self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._transport.abort()
+        return len(data)
+
+    @property
+    def peer_ip(self) -> str:
+        """Return the IP address of the other host."""
+        peer = self._transport.get_extra_info("peername")
+        return peer[0] if peer else ""
 
     def send_and_close(self, data: bytes) -> None:
         """Send unframed data and close the connection."""
@@ -129,8 +140,9 @@
 class PeerEndpoint(asyncio.DatagramProtocol):
     """Send and receive heartbeats, and accept queries from other hosts.
 
-    `answer_view_query` returns the response to a view query; `on_query` is called with
-    the connection and every other query.
+    `answer_view_query` returns the response to a view query; `on_view_sent` is called
+    with the IP address of its receiver and its size. `on_query` is called with the
+    connection and every other query.
     """
 
     def __init__(
@@ -140,9 +152,10 @@
         on_malformed: Callable[[str], None],
         on_query: Callable[[FrameConnection, msgspec.Struct], None],
         on_lost: Callable[[FrameConnection], None],
+        on_view_sent: Callable[[str, int], None] = lambda ip, size: None,
     ) -> None:
-        self.sent_bytes = 0
         self.address = ""
+        self._on_view_sent = on_view_sent
         self._on_heartbeat = on_heartbeat
         self._answer_view_query = answer_view_query
         self._on_query = on_query
@@ -175,12 +188,12 @@
         self._server.close()
         self._transport.close()
 
-    def send_heartbeat(self, heartbeat: Heartbeat, addresses: list[str]) -> None:
-        """Send a heartbeat to each address (ip:port)."""
+    def send_heartbeat(self, heartbeat: Heartbeat, addresses: list[str]) -> int:
+        """Send a heartbeat to each address (ip:port); return its size in bytes."""
         data = _encoder.encode(heartbeat)
         for address in addresses:
-            self.sent_bytes += len(data)
             self._transport.sendto(data, split_address(address))
+        return len(data)
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Store the transport (called by the event loop)."""
@@ -208,7 +221,9 @@
     def _handle_query(self, connection: FrameConnection, query: Any) -> None:
         if isinstance(query, ViewQuery):
             response = _encoder.encode(self._answer_view_query(query))
-            connection.send_and_close(zlib.compress(response, 1))
+            data = zlib.compress(response, 1)
+            self._on_view_sent(connection.peer_ip, len(data))
+            connection.send_and_close(data)
         else:
             self._on_query(connection, query)
 
--- a/packages/gateway/crocusbay_gateway/transport/server_connection.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_connection.py
@@ -120,6 +120,7 @@
         on_lost: Callable[["ServerConnection"], None],
         now: Callable[[], float],
         receive_budget: ReceiveBudget,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> None:
         self.current_exchange: Exchange | None = None
         self.last_used_at = now()
@@ -141,6 +142,7 @@
         self._on_lost = on_lost
         self._now = now
         self._receive_budget = receive_budget
+        self._on_bytes = on_bytes
         self._received_bytes = 0
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
@@ -173,6 +175,8 @@
         exchange.sent_at = self._now()
         data = exchange.data if isinstance(exchange.data, bytes) else exchange.data()
         self._transport.write(data)
+        if self._on_bytes is not None:
+            self._on_bytes(len(data))
 
     def close(self, cause: Cause = Cause.CANCELLED) -> None:
         """Abort the connection and fail the exchange in progress with the cause."""
@@ -184,6 +188,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a chunk (called by the event loop)."""
+        if self._on_bytes is not None:
+            self._on_bytes(len(data))
         if self.is_closed:
             return
         if self.current_exchange is None:
--- a/packages/gateway/crocusbay_gateway/transport/server_pool.py
+++ b/packages/gateway/crocusbay_gateway/transport/server_pool.py
@@ -45,7 +45,8 @@
 
     `connection_limit` is the number of connections that this host may open, its part of
     the limit that the server has for all hosts. `on_connect` is called with whether a
-    connection could be opened, `on_statement` with the head of each response.
+    connection could be opened, `on_statement` with the head of each response, and
+    `on_bytes` with the bytes that are sent and received.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         receive_budget: ReceiveBudget,
         on_connect: Callable[[bool], None] = lambda is_open: None,
         on_statement: Callable[[ServerStatement], None] = lambda statement: None,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> None:
         self.address = address
         self.connection_limit = connection_limit
@@ -68,6 +70,7 @@
         self._receive_budget = receive_budget
         self._on_connect = on_connect
         self._on_statement = on_statement
+        self._on_bytes = on_bytes
         self._idle: list[ServerConnection] = []
         self._open: set[ServerConnection] = set()
         self._queue: deque[Exchange] = deque()
@@ -211,6 +214,7 @@
                         self._on_lost,
                         self._timers.now,
                         self._receive_budget,
+                        self._on_bytes,
                     ),
                     ip,
                     port,
