Let callers keep the addresses of hosts for as long as a leaving host listens

Cause: callers had to ask for hosts again each second. Change: addresses are valid until a host that begins to leave just then stops to listen, 3.95 s with a grace of 6 s, instead of 1 s.

--- a/packages/gateway/crocusbay_gateway/coordination/planned_stop.py
+++ b/packages/gateway/crocusbay_gateway/coordination/planned_stop.py
@@ -9,9 +9,12 @@
 # Before a stop, the entry addresses that callers have cached must expire; the rest of
 # the time is for requests in flight to finish.
 LISTENING_SHARE_OF_STOP_TIME = 0.7
+# Until all hosts know that one is leaving, some still name it to callers.
+NOTICE_SECONDS = 0.25
 # The platform kills the process at the end of the stop time, and the signal to stop may
 # have been handled late.
 ANSWER_MARGIN_SECONDS = 0.5
+MIN_ENTRY_LIFETIME_SECONDS = 0.1
 # The last replies are sent in this time.
 END_MARGIN_SECONDS = 0.25
 # A refused request may be repeated elsewhere at once; one that may not be repeated is
@@ -46,6 +49,19 @@
         return now + ratio * expected_time <= self.answer_by
 
 
+def entry_lifetime(stop_time: float) -> float:
+    """Return how long callers may keep the addresses of hosts (seconds).
+
+    Addresses named just before a stop expire while the host still listens. A look-up
+    costs a caller a connection and two round trips before its request.
+
+    >>> round(entry_lifetime(6.0), 2)
+    3.95
+    """
+    listening_time = LISTENING_SHARE_OF_STOP_TIME * stop_time
+    return max(MIN_ENTRY_LIFETIME_SECONDS, listening_time - NOTICE_SECONDS)
+
+
 def plan_stop(now: float, stop_time: float) -> PlannedStop:
     """Return the plan of a stop that begins now and may take `stop_time` (seconds)."""
     return PlannedStop(
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_planned_stop.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_planned_stop.py
@@ -1,7 +1,12 @@
 import pytest
 
 from crocusbay_gateway.coordination.attempt import RouteLatency
-from crocusbay_gateway.coordination.planned_stop import PlannedStop, plan_stop
+from crocusbay_gateway.coordination.planned_stop import (
+    NOTICE_SECONDS,
+    PlannedStop,
+    entry_lifetime,
+    plan_stop,
+)
 
 STOP = plan_stop(100.0, 6.0)
 GOAL_SECONDS = 0.3
@@ -54,3 +59,12 @@
     for sample in samples:
         latency.add_sample(sample)
     assert low <= latency.expected_time <= high
+
+
+@pytest.mark.parametrize("stop_time", [1.0, 2.0, 6.0, 30.0])
+def test_addresses_expire_while_a_leaving_host_listens(stop_time):
+    """Callers keep them for as long as that, to send requests without a look-up."""
+    lifetime = entry_lifetime(stop_time)
+    named_until = NOTICE_SECONDS
+    listen_until = plan_stop(0.0, stop_time).listen_until
+    assert named_until + lifetime == pytest.approx(listen_until)
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -20,7 +20,11 @@
     Membership,
 )
 from crocusbay_gateway.coordination.peering import Peering
-from crocusbay_gateway.coordination.planned_stop import PlannedStop, plan_stop
+from crocusbay_gateway.coordination.planned_stop import (
+    PlannedStop,
+    entry_lifetime,
+    plan_stop,
+)
 from crocusbay_gateway.coordination.quarantine import Quarantine
 from crocusbay_gateway.coordination.quarantine_store import QuarantineStore
 from crocusbay_gateway.coordination.registry import Registry
@@ -50,9 +54,8 @@
 LOAD_SMOOTHING = 0.2
 STOP_CHECK_INTERVAL_SECONDS = 0.05
 TRAFFIC_LOG_INTERVAL_SECONDS = 10.0
-# Callers may use entry addresses for up to three times this lifetime. A short lifetime
-# directs callers away from a leaving host early, and a query costs little.
-ENTRY_LIFETIME_SECONDS = 1.0
+# After which a caller asks again for hosts while none is ready.
+NO_HOST_RETRY_SECONDS = 1.0
 
 
 class EntryCodec(Protocol):
@@ -457,5 +460,6 @@
             candidates, data_centre, self.registry.server_counts_by_data_centre()
         )
         if not entries:
-            return Reply(503, retry_after=ENTRY_LIFETIME_SECONDS)
-        return self._entry_codec.reply(entries, ENTRY_LIFETIME_SECONDS)
+            return Reply(503, retry_after=NO_HOST_RETRY_SECONDS)
+        lifetime = entry_lifetime(self.settings.bounds.shutdown_timeout)
+        return self._entry_codec.reply(entries, lifetime)
--- a/packages/standins/crocusbay_standins/soak/callers.py
+++ b/packages/standins/crocusbay_standins/soak/callers.py
@@ -176,6 +176,11 @@
 
     async def resolve(self, host: SoakHost) -> tuple[str, ...]:
         """Return the addresses that a host gives to callers; empty if it fails."""
+        resolution = await self.look_up(host)
+        return () if resolution is None else resolution.addresses
+
+    async def look_up(self, host: SoakHost) -> Resolution | None:
+        """Return a host's answer to a caller that asks for hosts; None if it fails."""
         try:
             async with asyncio.timeout(RESOLUTION_TIMEOUT_SECONDS):
                 ip, port = split_address(host.settings.entry_address)
@@ -188,10 +193,10 @@
                 _, status, _, body = await read_message(reader)
                 writer.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            return ()
+            return None
         if status != "200":
-            return ()
-        return msgspec.json.decode(body, type=Resolution).addresses
+            return None
+        return msgspec.json.decode(body, type=Resolution)
 
     async def _connect(self, address: str):
         stream = self._stream_by_address.get(address)
