Let a response during the check of an address clear the suspicion

Cause: a crash that waits for the end of a server's entry bore the time of the check of its address, not that of the reset, and a response before any crash was recorded was not remembered; so a harmless request whose server was reset and then left was suspected. Ruled out: the time alone (with it mended the test failed still). Change: the crash bears the time of the reset, and each copy of a request remembers when a service last responded to it.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -189,6 +189,7 @@
         "_request_id",
         "_crash_by_server",
         "_has_ended",
+        "_responded_at_by_service",
     )
 
     def __init__(
@@ -200,6 +201,7 @@
         self._request_id = request_id
         self._crash_by_server: dict[tuple[str, int], Crash] = {}
         self._has_ended = False
+        self._responded_at_by_service: dict[str, float] = {}
 
     @property
     def servers(self) -> list[str]:
@@ -217,8 +219,9 @@
         A connection may also be reset while the server runs on. Another process may
         accept connections at the address of a server that crashed.
         """
+        crash = self._make_crash(server.entry)
         if server.has_ended:
-            self._await_end(server, "reset", Finding.ENDED)
+            self._await_end(server, crash, "reset", Finding.ENDED)
             return
 
         def handle_check(listening: Listening) -> None:
@@ -229,9 +232,8 @@
                 self._log_suspicion(server, "reset", listening)
                 self._record_crash(crash)
             else:
-                self._await_end(server, "reset", listening)
+                self._await_end(server, crash, "reset", listening)
 
-        crash = self._make_crash(server.entry)
         server.pool.check_listening(handle_check)
 
     def suspect_silence(self, server: Server) -> None:
@@ -240,7 +242,7 @@
         The link to the server may also be interrupted.
         """
         finding = Finding.ENDED if server.has_ended else Finding.LISTED
-        self._await_end(server, "silence", finding)
+        self._await_end(server, self._make_crash(server.entry), "silence", finding)
 
     def suspect_end(self, server: Server) -> None:
         """Record a crash if a server whose entry has ended accepts no connection.
@@ -259,6 +261,7 @@
     def record_response(self, service: str) -> None:
         """Record that a server of the service ran the request to its end."""
         self.has_response = True
+        self._responded_at_by_service[service] = self._monitor.now()
         self._monitor.record_response(self.fingerprint, service, self._request_id)
 
     def end(self) -> None:
@@ -268,11 +271,10 @@
             self._record(crash)
 
     def _await_end(
-        self, server: Server, sign: str, finding: Finding | Listening
+        self, server: Server, crash: Crash, sign: str, finding: Finding | Listening
     ) -> None:
-        """Record a crash as of now once the server's entry has ended."""
+        """Record a crash, as of when it was suspected, once the entry has ended."""
         self._log_suspicion(server, sign, finding)
-        crash = self._make_crash(server.entry)
         server.on_end(lambda: self._record_crash(crash), self._monitor.now())
 
     def _log_suspicion(
@@ -286,6 +288,10 @@
         return Crash(entry.service, entry.name, entry.started_at, self._monitor.now())
 
     def _record_crash(self, crash: Crash) -> None:
+        """Record a crash unless the service has responded since the suspicion."""
+        responded_at = self._responded_at_by_service.get(crash.service)
+        if responded_at is not None and responded_at >= crash.crashed_at:
+            return
         self._crash_by_server.setdefault(crash.key, crash)
         self._record(crash)
 
