Name contacts less often between data centres

In the emulator, 60 hosts in six data centres, half of a heartbeat's bytes there are contacts, which are rarely new. Ruled out: a lower rate of these heartbeats, as views elsewhere would be confirmed too late, and reports that go round in turn would reach only some. Change: hosts that send to other data centres name contacts there in one heartbeat of 16 instead of 4; to new hosts, to seeds and within a data centre as before.

--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -249,15 +249,21 @@
         """Return lost hosts once more from `pop_deleted`, unless they are back."""
         self._deleted_names.update(names)
 
-    def heartbeat_targets(self) -> list[str]:
-        """Return the addresses that the next heartbeat is sent to."""
+    def local_targets(self) -> list[str]:
+        """Return the addresses that the next heartbeat is sent to.
+
+        With few hosts, these are all of them.
+        """
         contacts = self.contacts_by_name
         if len(contacts) <= MAX_FULL_MESH:
             return [contact.peer_address for contact in contacts.values()]
-        chosen = [contacts[name].peer_address for name in self._next_local_names()]
-        if self.is_bridge:
-            chosen += self._remote_bridge_addresses()
-        return chosen
+        return [contacts[name].peer_address for name in self._next_local_names()]
+
+    def bridge_targets(self) -> list[str]:
+        """Return the addresses in other data centres that a bridge sends to as well."""
+        if len(self.contacts_by_name) <= MAX_FULL_MESH or not self.is_bridge:
+            return []
+        return self._remote_bridge_addresses()
 
     def remote_addresses(self) -> set[str]:
         """Return the addresses of the known hosts in other data centres."""
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -22,6 +22,8 @@
 
 # Contacts and host counts are included in one heartbeat out of this many.
 CONTACTS_INTERVAL_HEARTBEATS = 4
+# Between data centres, contacts take half of the bytes, and are rarely new.
+BRIDGE_CONTACTS_INTERVAL_HEARTBEATS = 16
 # A host that receives heartbeats and sends none to other data centres sends one in
 # this many to the seeds as well.
 SEEDS_INTERVAL_HEARTBEATS = 40
@@ -101,7 +103,11 @@
         that send heartbeats to other data centres do this, on behalf of all.
         """
         self._heartbeat_number += 1
-        self._send_heartbeat_to(self._membership.heartbeat_targets())
+        heartbeat = self._next_heartbeat()
+        self._send_to(heartbeat, self._membership.local_targets())
+        if self._heartbeat_number % BRIDGE_CONTACTS_INTERVAL_HEARTBEATS != 1:
+            heartbeat = msgspec.structs.replace(heartbeat, known_hosts=())
+        self._send_to(heartbeat, self._membership.bridge_targets())
         seeds_interval = (
             CONTACTS_INTERVAL_HEARTBEATS
             if self._membership.is_bridge
@@ -111,12 +117,11 @@
             not self._membership.live_hosts
             or self._heartbeat_number % seeds_interval == 1
         ):
-            self._send_heartbeat_to(self._seed_addresses())
+            self._send_to(self._next_heartbeat(), self._seed_addresses())
 
-    def _send_heartbeat_to(self, addresses: list[str]) -> None:
+    def _next_heartbeat(self) -> Heartbeat:
         includes_contacts = self._heartbeat_number % CONTACTS_INTERVAL_HEARTBEATS == 1
-        heartbeat = self._make_heartbeat(includes_contacts=includes_contacts)
-        self._send_to(heartbeat, addresses)
+        return self._make_heartbeat(includes_contacts=includes_contacts)
 
     def _send_to(self, heartbeat: Heartbeat, addresses: list[str]) -> None:
         size = self._endpoint.send_heartbeat(heartbeat, addresses)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_policies.py
@@ -234,7 +234,8 @@
             if other_data_centre == data_centre:
                 membership.update(status(name, other_data_centre), 0.0)
         targets = [
-            address.partition(":")[0] for address in membership.heartbeat_targets()
+            address.partition(":")[0]
+            for address in membership.local_targets() + membership.bridge_targets()
         ]
         assert len(targets) == len(set(targets)) and own_name not in targets
         for target in targets:
@@ -249,7 +250,7 @@
         membership.update(status(f"host-{number}"), 0.0)
     targets = set()
     for _ in range(5):
-        targets |= set(membership.heartbeat_targets())
+        targets |= {*membership.local_targets(), *membership.bridge_targets()}
     assert len(targets) == 29
     assert membership.loss_timeout > 4 * 0.25 * 29 / 9
 
