--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -24,6 +24,7 @@
 CONTACTS_INTERVAL_HEARTBEATS = 4
 # Between data centres, contacts take half of the bytes, and are rarely new.
 BRIDGE_CONTACTS_INTERVAL_HEARTBEATS = 16
+MAX_BRIDGE_CONTACTS = 8
 # A host that receives heartbeats and sends none to other data centres sends one in
 # this many to the seeds as well.
 SEEDS_INTERVAL_HEARTBEATS = 40
@@ -105,9 +106,9 @@
         self._heartbeat_number += 1
         heartbeat = self._next_heartbeat()
         self._send_to(heartbeat, self._membership.local_targets())
-        if self._heartbeat_number % BRIDGE_CONTACTS_INTERVAL_HEARTBEATS != 1:
-            heartbeat = msgspec.structs.replace(heartbeat, known_hosts=())
-        self._send_to(heartbeat, self._membership.bridge_targets())
+        self._send_to(
+            self._without_most_contacts(heartbeat), self._membership.bridge_targets()
+        )
         seeds_interval = (
             CONTACTS_INTERVAL_HEARTBEATS
             if self._membership.is_bridge
@@ -119,6 +120,16 @@
         ):
             self._send_to(self._next_heartbeat(), self._seed_addresses())
 
+    def _without_most_contacts(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Return a heartbeat for other data centres, where contacts are rarely new."""
+        includes_contacts = (
+            self._heartbeat_number % BRIDGE_CONTACTS_INTERVAL_HEARTBEATS == 1
+        )
+        count = MAX_BRIDGE_CONTACTS if includes_contacts else 0
+        return msgspec.structs.replace(
+            heartbeat, known_hosts=heartbeat.known_hosts[:count]
+        )
+
     def _next_heartbeat(self) -> Heartbeat:
         includes_contacts = self._heartbeat_number % CONTACTS_INTERVAL_HEARTBEATS == 1
         return self._make_heartbeat(includes_contacts=includes_contacts)
