--- a/packages/gateway/crocusbay_gateway/log.py
+++ b/packages/gateway/crocusbay_gateway/log.py
@@ -108,4 +108,12 @@
             "event": event,
             **fields,
         }
-        self._buffer += _encoder.encode(line) + b"\n"
+        self._buffer += _encode(line) + b"\n"
+
+
+def _encode(line: dict[str, Any]) -> bytes:
+    """Return an encoded line; values that JSON can't hold are written as text."""
+    try:
+        return _encoder.encode(line)
+    except (OverflowError, TypeError, ValueError):
+        return _encoder.encode({key: ascii(value) for key, value in line.items()})
--- a/packages/gateway/crocusbay_gateway/tests/test_log.py
+++ b/packages/gateway/crocusbay_gateway/tests/test_log.py
@@ -1,6 +1,8 @@
 import json
 import os
 
+import pytest
+
 from crocusbay_gateway.log import (
     MAX_BUFFERED_BYTES,
     MAX_LINES_PER_SECOND_BY_LEVEL,
@@ -87,3 +89,12 @@
     os.close(read_end)
     log.info("request")
     log.info("request")
+
+
+@pytest.mark.parametrize("value", ["\ud800", 10**400, object(), {1: "a"}])
+def test_value_that_json_cannot_hold_is_written_as_text(value):
+    log, read_end, _ = open_log()
+    log.error("unexpected-error", reason=value)
+    (line,) = read_lines(read_end)
+    assert line["event"].strip("'") == "unexpected-error"
+    assert line["reason"]
