--- a/packages/standins/crocusbay_standins/soak/checks.py
+++ b/packages/standins/crocusbay_standins/soak/checks.py
@@ -10,6 +10,9 @@
 from crocusbay_standins.soak.hosts import BOUNDS
 from crocusbay_standins.soak.servers import ReceivedRequest, make_records
 
+# Of a line in the hosts' logs.
+UNEXPECTED_ERROR = '"event":"unexpected-error"'
+MAX_LINE_CHARACTERS = 400
 # On a machine with other load, a process may wait this long to be scheduled.
 SCHEDULING_TOLERANCE_SECONDS = 0.5
 # A host counts as free of faults this long after the last fault of it or the store.
@@ -56,6 +59,17 @@
     start_times_by_host: dict[str, list[float]] = field(default_factory=dict)
 
 
+def check_host_logs(log_by_host: dict[str, str]) -> list[Violation]:
+    """Return a violation for each host with an error of the program in its log."""
+    violations = []
+    for name, log in log_by_host.items():
+        line = next((each for each in log.splitlines() if UNEXPECTED_ERROR in each), "")
+        if line:
+            detail = f"{name}: {line[:MAX_LINE_CHARACTERS]}"
+            violations.append(Violation("no unexpected error", "", detail))
+    return violations
+
+
 def check_all(observations: Observations) -> list[Violation]:
     """Return all violations."""
     return [
--- a/packages/standins/crocusbay_standins/soak/hosts.py
+++ b/packages/standins/crocusbay_standins/soak/hosts.py
@@ -78,6 +78,12 @@
         """Return the name in the settings of the host."""
         return self.settings.name
 
+    @property
+    def log(self) -> str:
+        """Return what the host has logged since its first start."""
+        path = self.folder / f"{self.name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
     @property
     def is_running(self) -> bool:
         """Return whether the host has been started and has not ended."""
--- a/packages/standins/crocusbay_standins/soak/run.py
+++ b/packages/standins/crocusbay_standins/soak/run.py
@@ -7,7 +7,12 @@
 
 from crocusbay_gateway.state import Configuration
 from crocusbay_standins.soak.callers import Caller, Outcome, RequestKind
-from crocusbay_standins.soak.checks import Observations, Violation, check_all
+from crocusbay_standins.soak.checks import (
+    Observations,
+    Violation,
+    check_all,
+    check_host_logs,
+)
 from crocusbay_standins.soak.deployment import PATHS, make_routes, make_services
 from crocusbay_standins.soak.faults import FaultInjector
 from crocusbay_standins.soak.hosts import ProcessHost, SoakHost, make_hosts
@@ -259,6 +264,7 @@
             {host.name: host.start_times for host in self._hosts},
         )
         violations = check_all(observations) + self._violations_at_end
+        violations += check_host_logs({host.name: host.log for host in self._hosts})
         since = (
             max(outcome.ended_at for outcome in self.outcomes) - RECOVERY_CHECK_SECONDS
         )
--- a/packages/standins/crocusbay_standins/soak/tests/test_checks.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_checks.py
@@ -218,3 +218,10 @@
         start_times_by_host={"h": restarts},
     )
     assert bool(checks.check_configuration_order(observations)) == has_violation
+
+
+def test_error_of_a_host_is_detected():
+    line = '{"level":"error","host":"h0","event":"unexpected-error","task":"t"}'
+    logs = {"h0": f'{{"event":"started"}}\n{line}\n{line}\n', "h1": '{"event":"x"}\n'}
+    (violation,) = checks.check_host_logs(logs)
+    assert violation.detail == f"h0: {line}"
