--- a/packages/standins/crocusbay_standins/emulator/tests/test_odd_messages.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_odd_messages.py
@@ -61,6 +61,15 @@
     msgspec.Raw(b"\xdd\xff\xff\xff\xff"),
     msgspec.Raw(b"\xa2\xff\xfe"),
 ]
+# Of server entries.
+ODD_FIELDS = [
+    ("slots", 2**64 - 1),
+    ("address", "127.0.0.9:0"),
+    ("address", "foo:80"),
+    ("service", "s" * 1_000),
+    ("cold_time", float("nan")),
+    ("place", None),
+]
 STATUS = HostStatus("peer", 1, 1, "a", "127.0.0.77:80", PEER, store_era=1)
 CONFIGURATION = Configuration(2, make_routes(2), make_services())
 VIEW = ViewResponse(
@@ -245,21 +254,9 @@
             VIEW, servers_revision=revision, servers_seen_revision=revision
         )
         sent = _sent(view)
-        names = {}
-        for number, (field, odd) in enumerate(
-            [
-                ("slots", 2**64 - 1),
-                ("address", "127.0.0.9:0"),
-                ("address", "foo:80"),
-                ("service", "s" * 1_000),
-                ("cold_time", float("nan")),
-                ("place", None),
-                ("slots", 2),
-            ]
-        ):
-            names[number] = f"other-{number}"
-            entry = _sent(ServerEntry(names[number], revision, "s", "127.0.0.9:9", "a"))
-            sent[6].append({**entry, field: odd})
+        for number, (field, value) in enumerate([*ODD_FIELDS, ("slots", 2)]):
+            entry = ServerEntry(f"other-{number}", revision, "s", "127.0.0.9:9", "a")
+            sent[6].append({**_sent(entry), field: value})
         peer = Peer([msgspec.msgpack.encode(sent)])
         await peer.start(loop)
         status = msgspec.structs.replace(
@@ -268,9 +265,11 @@
         data = msgspec.msgpack.encode(Heartbeat(status))
         peer.transport.sendto(data, peer_address(host))
         await asyncio.sleep(0.1)
-        entries = host.gateway.servers.by_name
-        usable = {n for n, name in names.items() if name in entries}
-        assert {n for n in usable if entries[names[n]].is_usable} == {6}
+        entries = host.gateway.servers.by_name.values()
+        added = [entry for entry in entries if entry.name.startswith("other-")]
+        assert [entry.name for entry in added if entry.is_usable] == [
+            f"other-{len(ODD_FIELDS)}"
+        ]
         await check_deployment(deployment, loop)
 
     loop.run_until_complete(main())
