Handle a signal that comes while a soak starts a seed

A signal that arrives at the fork is handled in a function that Python calls there, and what such a function raises is ignored. The window is long on a busy machine. Ruled out: the closed input, which ends the seed at the same moment (the next seed would still have ended). Change: the stand-in blocks these signals while it starts a seed. No host is affected.

--- a/packages/standins/crocusbay_standins/soak/seed_process.py
+++ b/packages/standins/crocusbay_standins/soak/seed_process.py
@@ -39,7 +39,13 @@
     receiver, sender = context.Pipe(duplex=False)
     # Daemons are terminated when this process exits.
     process = context.Process(target=_send_result, args=(run, sender), daemon=True)
-    process.start()
+    # A signal meanwhile is handled after the start: at a fork, Python calls functions
+    # whose errors it ignores.
+    signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
+    try:
+        process.start()
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, ENDING_SIGNALS)
     sender.close()
     try:
         result = receiver.recv()
@@ -50,6 +56,7 @@
 
 
 def _send_result(run: Callable[[], SoakReport], sender: Connection) -> None:
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, ENDING_SIGNALS)
     try:
         result = run()
     except Exception:
--- a/packages/standins/crocusbay_standins/soak/tests/test_seed_process.py
+++ b/packages/standins/crocusbay_standins/soak/tests/test_seed_process.py
@@ -14,6 +14,8 @@
 from crocusbay_standins.soak import __main__
 from crocusbay_standins.soak.run import SoakReport
 
+{preparation}
+
 def run(plan, folder):
     if plan.seed == 7:
         {ending}
@@ -27,10 +29,15 @@
 WAIT = "select.select([0], [], [], 20)"
 
 
-def start_soak(ending):
+def start_soak(ending, preparation="pass"):
     options = ["--emulated", "--first-seed", "7", "--seeds", "2"]
     return subprocess.Popen(
-        [sys.executable, "-c", SCRIPT.format(ending=ending), *options],
+        [
+            sys.executable,
+            "-c",
+            SCRIPT.format(ending=ending, preparation=preparation),
+            *options,
+        ],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -72,6 +79,15 @@
     assert soak.returncode == 128 + number
 
 
+def test_signal_while_a_seed_is_started_ends_the_soak():
+    """Python ignores what a signal's handler raises in a function called at a fork."""
+    hook = "os.register_at_fork(after_in_parent=lambda: os.kill(os.getpid(), 15))"
+    soak = start_soak(WAIT, hook)
+    output, _ = soak.communicate(timeout=60)
+    assert output == "seed 7: started\nseed 7: ended by SIGTERM\n"
+    assert soak.returncode == 128 + signal.SIGTERM
+
+
 def test_closed_output_is_reported_as_an_error():
     soak = start_soak(WAIT)
     assert soak.stdout.readline() == "seed 7: started\n"
