Log saves and reads of crashes

The logs could not tell apart why groups of partitioned hosts count crashes on their own (docs/incidents/crashes-unknown-across-partitions.md): a save or a read of crashes left no line. crashes-saved and crashes-read do, with counts. A line for each save and read, of which there are few.

--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -103,6 +103,11 @@
         reports = await self._store.list_crash_reports()
         self._read_at = started_at
         self._saved.update(report.fingerprint for report in reports)
+        self._log.info(
+            "crashes-read",
+            requests=len({report.fingerprint for report in reports}),
+            crashes=len(reports),
+        )
         self._crash_monitor.record_reports(reports, SOURCE_STORE)
 
     async def _write(self, fingerprint: str) -> None:
@@ -113,5 +118,6 @@
             # The removal was due before the request crashed servers again.
             self._expired.discard(fingerprint)
         await self._store.write_crash_reports(fingerprint, tuple(reports))
+        self._log.info("crashes-saved", fingerprint=fingerprint, crashes=len(reports))
         self._unsaved.discard(fingerprint)
         self._saved.add(fingerprint)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -1,3 +1,6 @@
+import json
+import os
+
 import pytest
 
 from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
@@ -55,6 +58,7 @@
         gateway = SimulatedGateway({})
         self.timers = gateway.timers
         log, metrics = gateway.context.log, gateway.context.metrics
+        self._log_pipe = gateway.log_pipe
         self.monitor = CrashMonitor(Quarantine(), log, metrics, self.timers)
         self.membership = Membership(name, "a", 1)
         self.hear(others)
@@ -74,6 +78,10 @@
             crash = Crash("s", f"s{number}", 1, self.timers.now(), is_unanswered)
             self.monitor.record_crash("f", crash, SOURCE_OWN)
 
+    def logged_events(self):
+        lines = os.read(self._log_pipe, 1_000_000).splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
     def is_quarantined(self):
         return self.monitor.quarantine.is_quarantined("f", self.timers.now())
 
@@ -156,3 +164,13 @@
         await isolated.quarantine_store.synchronize()
         await isolated.timers.advance(ISOLATED_READ_INTERVAL_SECONDS)
     assert store.read_count == READERS + 3
+
+
+async def test_saves_and_reads_of_crashes_are_logged():
+    store = FakeStore()
+    writer, reader = Host(store), Host(store)
+    writer.crash_servers(2)
+    await writer.quarantine_store.synchronize()
+    await reader.quarantine_store.synchronize()
+    assert "crashes-saved" in writer.logged_events()
+    assert "crashes-read" in reader.logged_events()
--- /dev/null
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
@@ -0,0 +1,64 @@
+"""Crashes count at all hosts that reach the store, whichever hosts they hear."""
+
+import pytest
+
+from crocusbay_standins.emulator.tests.test_crashes_not_counted import (
+    FETCH,
+    GATHER,
+    ORDER,
+    CrashingDeployment,
+)
+from crocusbay_standins.emulator.tests.test_crashing_request import MAX_LATE_RETRIES
+from crocusbay_standins.soak.servers import CrashMode
+
+
+def alone(hosts):
+    return [[host] for host in hosts]
+
+
+def pairs(hosts):
+    """Return pairs of hosts, each from two data centres."""
+    return [hosts[start : start + 2] for start in range(0, len(hosts), 2)]
+
+
+def halves(hosts):
+    return [hosts[: len(hosts) // 2], hosts[len(hosts) // 2 :]]
+
+
+def data_centres(hosts):
+    groups = {}
+    for host in hosts:
+        groups.setdefault(host.settings.data_centre, []).append(host)
+    return list(groups.values())
+
+
+def partition(network, groups):
+    """Partition the hosts of each group from those of all others."""
+    for group in groups:
+        for host in group:
+            for other in (each for each in sum(groups, []) if each not in group):
+                network.partition(host.settings.ip, other.settings.ip)
+
+
+@pytest.mark.parametrize("crash_mode", [CrashMode.RESET, CrashMode.SILENT])
+@pytest.mark.parametrize("target", [GATHER, FETCH, ORDER, f"{GATHER}@shard1"])
+@pytest.mark.parametrize("make_groups", [alone, pairs, halves, data_centres])
+def test_crashes_count_in_all_groups_of_partitioned_hosts(
+    loop, tmp_path, make_groups, target, crash_mode
+):
+    async def main():
+        deployment = CrashingDeployment(
+            tmp_path,
+            target,
+            crash_mode,
+            0.5,
+            hosts=8,
+            data_centres=("a", "b", "c", "d"),
+            is_renamed_on_restart=True,
+        )
+        await deployment.start()
+        partition(loop.network, make_groups(deployment.hosts))
+        await deployment.send_copies(24, interval=1.0)
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
