Count crashes together over partitions between hosts

What callers saw: servers ended under copies of a request that had already ended three, as hosts that don't hear each other counted to three each.

Cause: heartbeats were the only way from one running host to another. The store was read once after a start, and later only by a host that hears no other one; crashes that other shards' responses kept below the threshold weren't written; and hosts replaced each other's crashes of one request.

Ruled out: reads every two seconds by hosts that hear no other one (a host that hears one neighbour never asks; 441 calls in 24 s); a watch on crashes (a call more each time, noticed no sooner).

Change: each crash that counts after a quarter of a second is written, and merged with those in the store at the revision that was read. A host that polls the servers reads the crashes when the store's revision has risen by more than the changes that it knows, and its heartbeats tell up to which revision it has. A crash that a response has cleared does not come back by a read.

Tests: test_crashes_are_written_if_no_server_responded is replaced by test_crash_is_written_until_a_server_responds, as crashes that other shards responded to are written too. The isolated half of test_few_hosts_read_and_each_once is replaced by a table of polls, since a host reads after changes and not every two seconds. A crash after a response is now that of another server: a process ends once. test_new_fields has the new field. The stand-in store answers reads of one object, and conditions on revisions.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -44,12 +44,11 @@
         report: Callable[[], None] = lambda: None,
     ) -> None:
         self.quarantine = quarantine
+        # Store revision up to which the crashes in the store are known here.
+        self.seen_revision = -1
         self.now: Callable[[], float] = timers.now
-        # Requests to save of which this host observed a crash, until `pop_unsaved`.
-        self._unsaved: set[str] = set()
-        # Requests whose crashes turned out to have another cause, until `pop_cleared`.
-        self._cleared: set[str] = set()
-        self._observed: set[str] = set()
+        # Requests whose crashes this host has observed or cleared, until `pop_changed`.
+        self._changed: set[str] = set()
         self._log = log
         self._metrics = metrics
         self._timers = timers
@@ -83,16 +82,11 @@
             )
             if source == SOURCE_OWN:
                 self._report_soon()
-        if source == SOURCE_OWN:
-            self._observed.add(fingerprint)
-            if crash.is_unanswered and crash.key in crashes:
-                self._unsaved.add(fingerprint)
-                self._cleared.discard(fingerprint)
+        if source == SOURCE_OWN and crash.key in crashes:
+            self._changed.add(fingerprint)
         if is_newly_quarantined:
             self._metrics.quarantines.inc(source)
             self._log.warning("quarantined", **fields)
-            if fingerprint in self._observed:
-                self._unsaved.add(fingerprint)
 
     def log_suspicion(
         self,
@@ -127,6 +121,10 @@
             )
             self.record_crash(report.fingerprint, crash, source)
 
+    def confirm(self, revision: int) -> None:
+        """Note that the crashes in the store are known up to a revision of it."""
+        self.seen_revision = max(self.seen_revision, revision)
+
     def share_again(self) -> None:
         """Report the latest crashes once more, to a host that may have missed them."""
         self.quarantine.share_again(self.now())
@@ -153,30 +151,16 @@
                 request=request_id,
                 crashes=crash_count,
             )
-            if not self.quarantine.crashes(fingerprint):
-                self._unsaved.discard(fingerprint)
-                self._cleared.add(fingerprint)
-
-    def pop_cleared(self) -> set[str]:
-        """Return the requests of which no crash counts any more."""
-        cleared, self._cleared = self._cleared, set()
-        return cleared
+            self._changed.add(fingerprint)
 
-    def pop_unsaved(self) -> list[str]:
-        """Return the requests to save, which then count as saved.
-
-        Crashes are saved once they quarantine a request, or if no server responded to
-        the copy that the servers ran.
-        """
-        unsaved, self._unsaved = self._unsaved, set()
-        return sorted(unsaved)
+    def pop_changed(self) -> set[str]:
+        """Return the requests whose crashes this host has observed or cleared."""
+        changed, self._changed = self._changed, set()
+        return changed
 
     def pop_expired(self) -> list[str]:
         """Delete the records whose retention has ended; return their fingerprints."""
-        expired = self.quarantine.pop_expired(self.now())
-        self._unsaved.difference_update(expired)
-        self._observed.intersection_update(self.quarantine.fingerprints)
-        return expired
+        return self.quarantine.pop_expired(self.now())
 
 
 class RequestCrashes:
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -185,6 +185,7 @@
         )
         self._server_statements.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
+        self._crash_monitor.confirm(status.crashes_seen_revision)
         self._compare_views(status, now)
 
     def _compare_views(self, status: HostStatus, now: float) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import OrderedDict, defaultdict
-from collections.abc import KeysView
+from collections.abc import Collection, KeysView
 from dataclasses import dataclass, field, replace
 from itertools import islice
 
@@ -26,6 +26,8 @@
 # Requests whose crashes are reported again to a host that was not reached; as many as
 # heartbeats have room for in that period.
 MAX_SHARED_AGAIN = 64
+# Crashes of one request in the store, limited so that they fit into an object.
+MAX_SAVED_CRASHES = 100
 
 
 def request_fingerprint(request: CallerRequest) -> str:
@@ -62,6 +64,8 @@
     """Store the crashes of one request and when servers last responded to it."""
 
     crash_by_server: dict[tuple[str, int], Crash] = field(default_factory=dict)
+    # Crashes that a later response has shown to have another cause.
+    dismissed: set[tuple[str, int]] = field(default_factory=set)
     responded_at_by_service: dict[str, float] = field(default_factory=dict)
     expires_at: float = 0.0
 
@@ -74,6 +78,8 @@
         """Add a crash unless a later response shows that it does not count."""
         responded_at = self.responded_at_by_service
         if responded_at.get(crash.service, float("-inf")) >= crash.crashed_at:
+            self.dismissed.add(crash.key)
+        if crash.key in self.dismissed:
             return
         if any(at >= crash.crashed_at for at in responded_at.values()):
             crash = replace(crash, is_unanswered=False)
@@ -99,6 +105,24 @@
         return self.decisive_crashes() or list(self.crash_by_server.values())
 
 
+def merge_crash_reports(
+    known: tuple[CrashReport, ...],
+    added: Collection[CrashReport],
+    removed: Collection[tuple[str, int]] = (),
+) -> tuple[CrashReport, ...]:
+    """Return the known crashes of a request with others added, and some removed.
+
+    What is added replaces what is known of the same server process.
+    """
+    by_key = {report.key: report for report in known}
+    for report in added:
+        previous = by_key.get(report.key)
+        if previous is None or previous.is_unanswered != report.is_unanswered:
+            by_key[report.key] = report
+    kept = [report for key, report in by_key.items() if key not in removed]
+    return tuple(kept[:MAX_SAVED_CRASHES])
+
+
 class Quarantine:
     """Count the servers that each request crashed; times are in seconds.
 
@@ -152,6 +176,9 @@
             return 0
         previous = record.crash_by_server
         record.responded_at_by_service[service] = now
+        record.dismissed.update(
+            key for key, crash in previous.items() if crash.service == service
+        )
         record.crash_by_server = {
             key: replace(crash, is_unanswered=False)
             for key, crash in previous.items()
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -1,34 +1,41 @@
 """Synchronization of the quarantine with the platform's store.
 
-Crash reports in the store outlast a restart of all hosts.
+Crashes in the store outlast a restart of all hosts, and are known to hosts that do not
+receive each other's heartbeats.
 """
 
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 
+import msgspec
+
 from crocusbay.transport.timers import TimerService
 from crocusbay_gateway.coordination.crash_monitor import CrashMonitor
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.sources import SOURCE_STORE
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
 from crocusbay_gateway.log import EventLog
+from crocusbay_gateway.protocol import CrashReport
+
+# Identifies a crash: the fingerprint of the request, and the server process.
+CrashKey = tuple[str, tuple[str, int]]
 
-SYNCHRONIZATION_INTERVAL_SECONDS = 0.5
+SYNCHRONIZATION_INTERVAL_SECONDS = 0.25
 # Allows a host that has just started to receive heartbeats before it reads.
 STARTUP_DELAY_SECONDS = 0.2
 # Hosts that read after their start; the others learn from heartbeats. They also write
 # quarantines for the hosts that observed them, which may be killed before they do.
 READERS = 3
-# Removals that are repeated after a restore of the store.
-MAX_REMOVED_FINGERPRINTS = 64
-# A host without heartbeats from others learns only from the store.
-ISOLATED_READ_INTERVAL_SECONDS = 2.0
+# Crashes removed from the store that stay removed after a restore of it.
+MAX_REMOVED_CRASHES = 256
 
 
 class QuarantineStore:
     """Write the crashes that this host observed, and read those of others.
 
-    A few hosts write the quarantines of others too.
+    Hosts that poll the servers read whatever else has changed in the store; they tell
+    the hosts that they exchange heartbeats with. A few hosts write the quarantines of
+    others too.
     """
 
     def __init__(
@@ -46,13 +53,17 @@
         self._reaches_store = reaches_store
         self._log = log
         self._timers = timers
-        self._read_at = float("-inf")
-        # Fingerprints of quarantines to write, to remove, and known to be in the store.
-        self._unsaved: set[str] = set()
-        self._expired: set[str] = set()
-        self._saved: set[str] = set()
-        # Fingerprints that this host has removed lately, in the order of removal.
-        self._removed: deque[str] = deque(maxlen=MAX_REMOVED_FINGERPRINTS)
+        self._has_read = False
+        # Whether the store may hold crashes that this host has not read.
+        self._is_outdated = False
+        # For each crash in the store, whether no server responded to the copy.
+        self._saved_by_fingerprint: dict[str, dict[tuple[str, int], bool]] = {}
+        # Fingerprints whose crashes may differ from those in the store.
+        self._changed: set[str] = set()
+        # When this host first read or wrote a crash (seconds).
+        self._read_at_by_crash: dict[CrashKey, float] = {}
+        # Crashes that this host has removed lately, in the order of removal.
+        self._removed: OrderedDict[CrashKey, None] = OrderedDict()
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
@@ -61,63 +72,115 @@
             await self.synchronize()
             await self._timers.sleep(SYNCHRONIZATION_INTERVAL_SECONDS)
 
+    def observe_poll(
+        self, after_revision: int, seen_revision: int, has_other_changes: bool
+    ) -> None:
+        """Find out from a poll of the store whether crashes may have changed."""
+        if after_revision > self._crash_monitor.seen_revision or has_other_changes:
+            self._is_outdated = True
+        else:
+            self._crash_monitor.confirm(seen_revision)
+
     def write_again(self) -> None:
         """Write what a restored store has lost, and remove what it has again."""
-        self._unsaved.update(self._saved)
-        self._saved.clear()
-        self._expired.update(self._removed)
+        self._changed.update(self._saved_by_fingerprint)
+        self._saved_by_fingerprint.clear()
 
     async def synchronize(self) -> None:
         """Read, write and remove what is due; what fails is due again next time."""
-        expired = self._crash_monitor.pop_cleared()
-        expired.update(self._crash_monitor.pop_expired())
-        self._unsaved.update(self._crash_monitor.pop_unsaved())
-        if self._membership.polling_rank(self._reaches_store()) < READERS:
+        is_reader = self._membership.polling_rank(self._reaches_store()) < READERS
+        self._changed |= self._crash_monitor.pop_changed()
+        expired = self._crash_monitor.pop_expired()
+        if is_reader:
+            self._changed.update(expired)
             quarantined = self._crash_monitor.quarantine.quarantined
-            self._unsaved.update(quarantined - self._saved)
-        self._unsaved.difference_update(expired)
-        self._expired.update(self._saved.intersection(expired))
+            self._changed |= quarantined - self._saved_by_fingerprint.keys()
+        else:
+            for fingerprint in expired:
+                self._saved_by_fingerprint.pop(fingerprint, None)
         try:
-            if self._is_read_due():
+            if self._is_outdated or (is_reader and not self._has_read):
                 await self._read()
-            for fingerprint in sorted(self._unsaved):
+            for fingerprint in sorted(self._changed):
                 await self._write(fingerprint)
-            for fingerprint in sorted(self._expired):
-                await self._store.remove_crash_reports(fingerprint)
-                self._expired.discard(fingerprint)
-                self._removed.append(fingerprint)
-                self._saved.discard(fingerprint)
         except StoreUnavailableError as error:
             self._log.info("quarantine-not-synchronized", reason=str(error))
 
-    def _is_read_due(self) -> bool:
-        if not self._membership.live_hosts:
-            elapsed = self._timers.now() - self._read_at
-            return elapsed >= ISOLATED_READ_INTERVAL_SECONDS
-        has_read = self._read_at > float("-inf")
-        rank = self._membership.polling_rank(self._reaches_store())
-        return not has_read and rank < READERS
-
     async def _read(self) -> None:
-        started_at = self._timers.now()
-        reports = await self._store.list_crash_reports()
-        self._read_at = started_at
-        self._saved.update(report.fingerprint for report in reports)
+        self._is_outdated = False
+        try:
+            change = await self._store.list_crash_reports()
+        except StoreUnavailableError:
+            self._is_outdated = True
+            raise
+        self._has_read = True
+        self._saved_by_fingerprint.clear()
+        for report in change.reports:
+            saved = self._saved_by_fingerprint.setdefault(report.fingerprint, {})
+            saved[report.key] = report.is_unanswered
         self._log.info(
             "crashes-read",
-            requests=len({report.fingerprint for report in reports}),
-            crashes=len(reports),
+            requests=len(self._saved_by_fingerprint),
+            crashes=len(change.reports),
         )
-        self._crash_monitor.record_reports(reports, SOURCE_STORE)
+        read_at_by_crash = self._read_at_by_crash
+        self._read_at_by_crash = {}
+        for report in change.reports:
+            crash = report.fingerprint, report.key
+            if crash in read_at_by_crash:
+                self._read_at_by_crash[crash] = read_at_by_crash[crash]
+        self._record(change.reports)
+        self._crash_monitor.confirm(change.seen_revision)
 
     async def _write(self, fingerprint: str) -> None:
-        reports = self._crash_monitor.quarantine.decisive_reports(
-            fingerprint, self._timers.now()
+        """Write the crashes of a request that the store lacks, and remove others."""
+        quarantine = self._crash_monitor.quarantine
+        saved = self._saved_by_fingerprint.get(fingerprint, {})
+        reports = tuple(
+            report
+            for report in quarantine.decisive_reports(fingerprint, self._timers.now())
+            if saved.get(report.key) != report.is_unanswered
         )
-        if fingerprint in self._expired:
-            # The removal was due before the request crashed servers again.
-            self._expired.discard(fingerprint)
-        await self._store.write_crash_reports(fingerprint, tuple(reports))
-        self._log.info("crashes-saved", fingerprint=fingerprint, crashes=len(reports))
-        self._unsaved.discard(fingerprint)
-        self._saved.add(fingerprint)
+        removed = saved.keys() - quarantine.crashes(fingerprint).keys()
+        self._changed.discard(fingerprint)
+        if not (reports or removed):
+            return
+        try:
+            held = await self._store.update_crash_reports(fingerprint, reports, removed)
+        except StoreUnavailableError:
+            self._changed.add(fingerprint)
+            raise
+        self._log.info(
+            "crashes-saved",
+            fingerprint=fingerprint,
+            added=len(reports),
+            removed=len(removed),
+            crashes=len(held),
+        )
+        for key in removed:
+            self._removed[fingerprint, key] = None
+        while len(self._removed) > MAX_REMOVED_CRASHES:
+            self._removed.popitem(last=False)
+        self._saved_by_fingerprint.pop(fingerprint, None)
+        if held:
+            # The store holds a limited number, so that some may be left out.
+            self._saved_by_fingerprint[fingerprint] = {
+                report.key: report.is_unanswered for report in (*reports, *held)
+            }
+        self._record(held)
+
+    def _record(self, reports: tuple[CrashReport, ...]) -> None:
+        """Record crashes in the store, which are as old as this host knows of them.
+
+        Those that don't count, as a server has responded since, are removed.
+        """
+        now = self._timers.now()
+        quarantine = self._crash_monitor.quarantine
+        for report in reports:
+            crash = report.fingerprint, report.key
+            if crash not in self._removed:
+                age = now - self._read_at_by_crash.setdefault(crash, now)
+                aged = msgspec.structs.replace(report, age=age)
+                self._crash_monitor.record_reports((aged,), SOURCE_STORE)
+            if report.key not in quarantine.crashes(report.fingerprint):
+                self._changed.add(report.fingerprint)
--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -1,6 +1,6 @@
 """Interface to the platform's metadata store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -21,20 +21,35 @@
     """Describe the configuration, if changed, and the store revision read up to.
 
     `problem` tells why the configuration in the store can't be used, if so.
+    `change_revisions` are those of the changes that were read.
     """
 
     seen_revision: int
     revision: int = 0
     configuration: Configuration | None = None
     problem: str = ""
+    change_revisions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ServersChange:
-    """List the changed entries and the store revision read up to."""
+    """List the changed entries and the store revision read up to.
+
+    `change_count` is the number of changes that were read, of which some may have
+    changed the same entry.
+    """
 
     seen_revision: int
     entries: tuple[ServerEntry, ...] = ()
+    change_count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReportList:
+    """List crashes and the store revision read up to."""
+
+    seen_revision: int
+    reports: tuple[CrashReport, ...] = ()
 
 
 class Store(Protocol):
@@ -77,13 +92,17 @@
     async def remove_host(self, name: str) -> None:
         """Remove the entry of a lost host."""
 
-    async def write_crash_reports(
-        self, fingerprint: str, reports: tuple[CrashReport, ...]
-    ) -> None:
-        """Write the crashes for which a request is quarantined."""
+    async def update_crash_reports(
+        self,
+        fingerprint: str,
+        reports: tuple[CrashReport, ...],
+        removed: Collection[tuple[str, int]] = (),
+    ) -> tuple[CrashReport, ...]:
+        """Add crashes of a request to those that the store holds, and remove others.
 
-    async def list_crash_reports(self) -> tuple[CrashReport, ...]:
-        """Return the crashes for which requests are quarantined."""
+        Return the crashes that the store then holds. Crashes are known by server and
+        start.
+        """
 
-    async def remove_crash_reports(self, fingerprint: str) -> None:
-        """Remove the crashes of a request that is no longer quarantined."""
+    async def list_crash_reports(self) -> CrashReportList:
+        """Return the crashes that the store holds."""
--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -4,6 +4,7 @@
 the store rejects some hosts, the next host in rank polls once its own view is stale.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 from crocusbay.transport.timers import TimerService
@@ -36,6 +37,8 @@
 STALE_VIEW_POLLERS = 4
 # Number of hosts that poll while no host reaches the store.
 OUTAGE_POLLERS = 2
+# Changes of the configuration between two polls of the servers, at most.
+MAX_CHANGE_REVISIONS = 64
 # The store may accept a host again this long after rejecting it.
 REJECTION_EXPIRY_SECONDS = 4.0
 
@@ -60,7 +63,9 @@
     """Keep the views up to date from the store.
 
     `on_change` is called with the name of a changed view; `on_store_state` when the
-    store is reached again or no longer, with the reason for the latter.
+    store is reached again or no longer, with the reason for the latter. `on_poll` is
+    called with the store revisions after and up to which the servers were polled, and
+    whether something else than servers and configuration may have changed in between.
     """
 
     def __init__(
@@ -73,6 +78,7 @@
         on_change: Callable[[str], None],
         on_store_state: Callable[[bool, str], None],
         log: EventLog,
+        on_poll: Callable[[int, int, bool], None] = lambda after, seen, is_other: None,
     ) -> None:
         self._store = store
         self._configuration = configuration
@@ -82,6 +88,9 @@
         self._on_change = on_change
         self._on_store_state = on_store_state
         self._log = log
+        self._on_poll = on_poll
+        # Revisions of the latest changes of the configuration.
+        self._change_revisions: deque[int] = deque(maxlen=MAX_CHANGE_REVISIONS)
         self._started_at = timers.now()
         self._configuration_seen_revision = 0
         # Era in which this host has listed the servers, or found them known.
@@ -167,6 +176,7 @@
             except RevisionExpiredError:
                 change = await self._store.read_configuration()
                 self._log_list("configuration", seen_revision, change.seen_revision)
+        self._change_revisions.extend(change.change_revisions)
         self._configuration_seen_revision = max(
             self._configuration_seen_revision, change.seen_revision
         )
@@ -192,6 +202,7 @@
     async def _poll_servers(self) -> None:
         view = self._servers
         previous_cursor = view.cursor
+        after_revision = view.seen_revision
         confirmed_at = self._timers.now()
         if self._listed_era is None:
             self._listed_era = era_of(view.seen_revision)
@@ -200,7 +211,7 @@
             # may end before others hear of them: each host that polls lists once.
             if not view.seen_revision or era_of(view.seen_revision) > self._listed_era:
                 raise RevisionExpiredError
-            change = await self._store.watch_servers(view.seen_revision)
+            change = await self._store.watch_servers(after_revision)
             apply = view.update
         except RevisionExpiredError:
             change = await self._store.list_servers()
@@ -216,6 +227,12 @@
             confirmed_at,
             has_failed_calls=self._last_failure_at > view.confirmed_at,
         )
+        changes = change.change_count + sum(
+            after_revision < revision <= change.seen_revision
+            for revision in self._change_revisions
+        )
+        has_other_changes = change.seen_revision - after_revision != changes
+        self._on_poll(after_revision, change.seen_revision, has_other_changes)
         if view.cursor > previous_cursor:
             self._on_change("servers")
 
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -9,14 +9,14 @@
     CRASH_RETENTION_SECONDS,
     Crash,
     Quarantine,
+    merge_crash_reports,
 )
-from crocusbay_gateway.coordination.quarantine_store import (
-    ISOLATED_READ_INTERVAL_SECONDS,
-    READERS,
-    QuarantineStore,
-)
+from crocusbay_gateway.coordination.quarantine_store import READERS, QuarantineStore
 from crocusbay_gateway.coordination.sources import SOURCE_OWN
-from crocusbay_gateway.coordination.store import StoreUnavailableError
+from crocusbay_gateway.coordination.store import (
+    CrashReportList,
+    StoreUnavailableError,
+)
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
 from crocusbay_gateway.state import HostStatus
 
@@ -30,25 +30,27 @@
         self.by_fingerprint = {}
         self.is_unavailable = False
         self.read_count = 0
+        self.revision = 7
 
     def _check(self):
         if self.is_unavailable:
             raise StoreUnavailableError("store unavailable")
 
-    async def write_crash_reports(self, fingerprint, reports):
+    async def update_crash_reports(self, fingerprint, reports, removed=()):
         self._check()
-        self.by_fingerprint[fingerprint] = reports
+        known = self.by_fingerprint.get(fingerprint, ())
+        held = merge_crash_reports(known, reports, removed)
+        self.revision += held != known
+        self.by_fingerprint[fingerprint] = held
+        if not held:
+            del self.by_fingerprint[fingerprint]
+        return held
 
     async def list_crash_reports(self):
         self._check()
         self.read_count += 1
-        return tuple(
-            report for reports in self.by_fingerprint.values() for report in reports
-        )
-
-    async def remove_crash_reports(self, fingerprint):
-        self._check()
-        self.by_fingerprint.pop(fingerprint, None)
+        reports = sum(self.by_fingerprint.values(), ())
+        return CrashReportList(self.revision, reports)
 
 
 class Host:
@@ -73,8 +75,8 @@
             )
             self.membership.update(status, self.timers.now())
 
-    def crash_servers(self, count=3, is_unanswered=True):
-        for number in range(count):
+    def crash_servers(self, count=3, is_unanswered=True, first=0):
+        for number in range(first, first + count):
             crash = Crash("s", f"s{number}", 1, self.timers.now(), is_unanswered)
             self.monitor.record_crash("f", crash, SOURCE_OWN)
 
@@ -123,16 +125,21 @@
 
 
 @pytest.mark.parametrize("is_unanswered", [True, False])
-async def test_crashes_are_written_if_no_server_responded(is_unanswered):
+async def test_crash_is_written_until_a_server_responds(is_unanswered):
     """Servers that fail take harmless requests along, which others mostly answer."""
     store = FakeStore()
     host = Host(store)
-    host.crash_servers(2, is_unanswered=is_unanswered)
-    await host.quarantine_store.synchronize()
-    assert bool(store.by_fingerprint) == is_unanswered
+    host.crash_servers(1, is_unanswered=is_unanswered)
     host.monitor.record_response("f", "s", "a1")
     await host.quarantine_store.synchronize()
     assert not store.by_fingerprint
+    await host.timers.advance(1.0)
+    host.crash_servers(2, is_unanswered=is_unanswered, first=1)
+    await host.quarantine_store.synchronize()
+    assert len(store.by_fingerprint["f"]) == 2
+    host.monitor.record_response("f", "s", "a2")
+    await host.quarantine_store.synchronize()
+    assert not store.by_fingerprint
 
 
 async def test_crash_after_a_response_is_written():
@@ -144,26 +151,116 @@
     store.is_unavailable = True
     await host.quarantine_store.synchronize()
     await host.timers.advance(1.0)
-    host.crash_servers(2)
+    host.crash_servers(2, first=1)
     store.is_unavailable = False
     await host.quarantine_store.synchronize()
     assert len(store.by_fingerprint["f"]) == 2
 
 
-async def test_few_hosts_read_and_each_once_unless_it_is_isolated():
+async def test_few_hosts_read_after_their_start():
     names = [f"host-{number}" for number in range(2 * READERS)]
     store = FakeStore()
     for name in names:
         host = Host(store, name, [other for other in names if other != name])
         for _ in range(3):
             await host.quarantine_store.synchronize()
-            await host.timers.advance(ISOLATED_READ_INTERVAL_SECONDS)
+            await host.timers.advance(5.0)
     assert store.read_count == READERS
-    isolated = Host(store)
-    for _ in range(3):
-        await isolated.quarantine_store.synchronize()
-        await isolated.timers.advance(ISOLATED_READ_INTERVAL_SECONDS)
-    assert store.read_count == READERS + 3
+
+
+@pytest.mark.parametrize(
+    ("polls", "reads"),
+    [
+        ([], 1),
+        ([(7, 7, False)], 1),
+        ([(7, 9, False), (9, 9, False)], 1),
+        ([(7, 8, True)], 2),
+        # Another host has polled in between.
+        ([(8, 8, False)], 2),
+    ],
+)
+@pytest.mark.parametrize("is_unavailable", [False, True])
+async def test_host_that_polls_reads_what_else_has_changed(
+    polls, reads, is_unavailable
+):
+    store = FakeStore()
+    host = Host(store)
+    await host.quarantine_store.synchronize()
+    for after_revision, seen_revision, has_other_changes in polls:
+        host.quarantine_store.observe_poll(
+            after_revision, seen_revision, has_other_changes
+        )
+        store.is_unavailable = is_unavailable
+        await host.quarantine_store.synchronize()
+        store.is_unavailable = False
+        store.revision = seen_revision
+        await host.quarantine_store.synchronize()
+    assert store.read_count == reads
+
+
+async def read_again(host, store):
+    """Read what the store holds, as after a poll that shows a change."""
+    host.quarantine_store.observe_poll(store.revision - 1, store.revision, True)
+    await host.quarantine_store.synchronize()
+
+
+async def test_crashes_that_two_hosts_write_add_up():
+    store = FakeStore()
+    hosts = [Host(store, f"host-{number}") for number in range(2)]
+    hosts[0].crash_servers(2)
+    hosts[1].crash_servers(1, first=2)
+    for host in hosts:
+        await host.quarantine_store.synchronize()
+    assert [host.is_quarantined() for host in hosts] == [False, True]
+    await read_again(hosts[0], store)
+    assert hosts[0].is_quarantined()
+
+
+async def test_read_does_not_revive_crashes_of_before_a_response():
+    store = FakeStore()
+    observer, host = Host(store, "host-0"), Host(store, "host-1")
+    observer.crash_servers(2)
+    await observer.quarantine_store.synchronize()
+    await host.quarantine_store.synchronize()
+    await host.timers.advance(1.0)
+    host.monitor.record_response("f", "s", "a1")
+    store.is_unavailable = True
+    await host.quarantine_store.synchronize()
+    store.is_unavailable = False
+    await host.timers.advance(1.0)
+    await read_again(host, store)
+    assert not host.monitor.quarantine.crashes("f")
+    assert not store.by_fingerprint
+
+
+async def test_removed_crashes_stay_removed_after_a_restore():
+    store = FakeStore()
+    host = Host(store)
+    host.crash_servers(2)
+    await host.quarantine_store.synchronize()
+    copy = dict(store.by_fingerprint)
+    await host.timers.advance(CRASH_RETENTION_SECONDS + 1.0)
+    await host.quarantine_store.synchronize()
+    assert not store.by_fingerprint
+    store.by_fingerprint = copy
+    host.quarantine_store.write_again()
+    await read_again(host, store)
+    assert not store.by_fingerprint
+    assert not host.monitor.quarantine.crashes("f")
+
+
+async def test_write_that_failed_is_repeated_after_a_restore_during_it():
+    store = FakeStore()
+    host = Host(store)
+    host.crash_servers(2)
+    await host.quarantine_store.synchronize()
+    store.by_fingerprint = {}
+    store.is_unavailable = True
+    host.quarantine_store.write_again()
+    await host.quarantine_store.synchronize()
+    store.is_unavailable = False
+    await host.quarantine_store.synchronize()
+    assert len(store.by_fingerprint["f"]) == 2
 
 
 async def test_saves_and_reads_of_crashes_are_logged():
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -230,6 +230,7 @@
             lambda view: self.peering.send_heartbeat(),
             self._log_store_state,
             self.log,
+            self.quarantine_store.observe_poll,
         )
         self.caller_server = CallerServer(
             self.request_service.handle,
@@ -364,6 +365,7 @@
             accepts_handovers=True,
             configuration_version=self.configuration.version,
             store_era=self.store_era.current,
+            crashes_seen_revision=max(0, self.crash_monitor.seen_revision),
         )
 
     async def _send_heartbeats(self) -> None:
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -36,6 +36,11 @@
     age: Age = 0.0
     is_unanswered: bool = True
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies the server process."""
+        return self.server, self.server_started_at
+
 
 class ServerReport(msgspec.Struct, frozen=True, array_like=True):
     """Report what a server last stated, `age` seconds ago.
--- a/packages/gateway/crocusbay_gateway/protocol/tests/test_older_versions.py
+++ b/packages/gateway/crocusbay_gateway/protocol/tests/test_older_versions.py
@@ -44,9 +44,11 @@
 
 
 def test_new_fields_follow_those_of_the_previous_version():
-    status = HostStatus("h", 1, 2, "a", "h:80", "h:81", store_era=2)
+    status = HostStatus(
+        "h", 1, 2, "a", "h:80", "h:81", store_era=2, crashes_seen_revision=7
+    )
     encoded = msgspec.msgpack.decode(msgspec.msgpack.encode(status))
-    assert encoded[STATUS_FIELDS:] == [None, 2]
+    assert encoded[STATUS_FIELDS:] == [None, 2, 7]
 
 
 def test_objects_keep_the_fields_of_the_previous_version():
--- a/packages/gateway/crocusbay_gateway/state/host.py
+++ b/packages/gateway/crocusbay_gateway/state/host.py
@@ -19,6 +19,8 @@
     server, and `accepts_handovers` whether it serves requests for such hosts.
     `configuration_version` is None without a configuration. `store_era` is 0 while it
     is not known, and None for hosts of versions that know no eras.
+    `crashes_seen_revision` is the store revision up to which the host knows and reports
+    the crashes in the store.
     """
 
     name: Name
@@ -42,6 +44,7 @@
     accepts_handovers: bool = False
     configuration_version: Ordinal | None = None
     store_era: Era | None = None
+    crashes_seen_revision: Ordinal = 0
 
     @property
     def knows_eras(self) -> bool:
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
@@ -1,7 +1,11 @@
 """Crashes count at all hosts that reach the store, whichever hosts they hear."""
 
+import asyncio
+
+import msgspec
 import pytest
 
+from crocusbay_standins.emulator.tests.deployment import Deployment
 from crocusbay_standins.emulator.tests.test_crashes_not_counted import (
     FETCH,
     GATHER,
@@ -62,3 +66,28 @@
         assert deployment.late_retries() <= MAX_LATE_RETRIES
 
     loop.run_until_complete(main())
+
+
+def test_crashes_are_not_read_for_changes_of_servers_and_configuration(loop, tmp_path):
+    """Each call to the store has a price."""
+
+    async def main():
+        deployment = Deployment(tmp_path)
+        await deployment.start()
+
+        def read_count():
+            return sum(host.log.count('"crashes-read"') for host in deployment.hosts)
+
+        reads = read_count()
+        for version in range(2, 6):
+            server = deployment.servers[version]
+            server.drain()
+            deployment.store.put_configuration(
+                msgspec.structs.replace(deployment.configuration, version=version)
+            )
+            await asyncio.sleep(0.4)
+            server.deregister()
+            await asyncio.sleep(1.1)
+        assert read_count() == reads
+
+    loop.run_until_complete(main())
--- a/packages/standins/crocusbay_standins/soak/store.py
+++ b/packages/standins/crocusbay_standins/soak/store.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 from enum import StrEnum
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
@@ -17,6 +17,7 @@
     CONFIGURATION_NAME,
     ERA_HEADER,
     OBJECTS_PATH,
+    REVISION_PARAMETER,
     SERVERS_KIND,
     WAIT_MS_PARAMETER,
     WATCH_PARAMETER,
@@ -225,21 +226,35 @@
         kind = url.path.removeprefix(OBJECTS_PATH).split("/")[1]
         if method in ("POST", "PUT"):
             sent = msgspec.json.decode(body, type=StoredObject)
-            if method == "POST" and sent.meta.name in self._objects_by_kind.get(
-                kind, {}
-            ):
+            is_stored = sent.meta.name in self._objects_by_kind.get(kind, {})
+            if method == "POST" and is_stored:
                 return 409, {}
+            if method == "PUT" and not is_stored:
+                return 404, {}
+            if self._is_conflict(kind, sent.meta.name, sent.meta.revision):
+                return 409, self._objects_by_kind[kind].get(sent.meta.name, {})
             return 200, self._put(kind, sent.meta.name, sent.spec)
+        name = unquote(url.path.removeprefix(f"{OBJECTS_PATH}/{kind}")).lstrip("/")
         if method == "DELETE":
-            name = url.path.rpartition("/")[2]
+            revision = int(query.get(REVISION_PARAMETER, 0))
+            if self._is_conflict(kind, name, revision):
+                return 409, self._objects_by_kind[kind].get(name, {})
             deleted = self._delete(kind, name)
             return (404, {}) if deleted is None else (200, deleted)
+        if name:
+            stored = self._objects_by_kind.get(kind, {}).get(name)
+            return (404, {}) if stored is None else (200, stored)
         if WATCH_PARAMETER in query:
             return await self._watch(
                 kind, int(query[WATCH_PARAMETER]), int(query[WAIT_MS_PARAMETER])
             )
         return 200, self._page(kind, query.get(AFTER_PARAMETER, ""))
 
+    def _is_conflict(self, kind: str, name: str, revision: int) -> bool:
+        """Return whether an object has changed since a revision that a call carries."""
+        stored = self._objects_by_kind.get(kind, {}).get(name)
+        return bool(revision and stored and stored.meta.revision != revision)
+
     async def _watch(self, kind: str, after: int, wait_ms: int):
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000
