Share retry budgets with hosts that are lost but may be alive

What callers saw: repeats beyond what the platform allows for a service, while hosts are partitioned from each other.

Cause: the same class as that of crashes: what all hosts share was divided by the load of the hosts that are heard. A host that hears no other one took the whole share of its data centre, and after a restart that of all of them.

Ruled out: connections and stated limits, whose shares count lost hosts already; after a restart alone they did not.

Change: the load of hosts that were lost within a minute counts, as it does for connections. A host that has heard from no other one since its start counts its contacts, three hosts at least, also for connections and stated limits.

A deployment of a single host has a third of the burst. Partitions of over a minute are not covered: lost hosts are forgotten then.

--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -104,8 +104,18 @@
 
     @property
     def host_count(self) -> int:
-        """Return the number of hosts that may hold connections, including this one."""
-        return sum(self.host_counts_by_data_centre.values())
+        """Return the number of hosts that may hold connections, including this one.
+
+        A host that has heard from no other one since its start counts its contacts.
+        """
+        count = sum(self.host_counts_by_data_centre.values())
+        return count if self.by_name else max(count, 1 + len(self.contacts_by_name))
+
+    @property
+    def data_centre_count(self) -> int:
+        """Return the number of known data centres, including this host's own one."""
+        places = {contact.data_centre for contact in self.contacts_by_name.values()}
+        return len(places.union(self.host_counts_by_data_centre) - {""})
 
     @property
     def loads_by_data_centre(self) -> dict[str, float]:
@@ -131,9 +141,20 @@
         """Return this host's share of the load of all hosts, with a minimum."""
         total = sum(self.loads_by_data_centre.values())
         even_share = 1.0 / max(MIN_HOST_COUNT, self.host_count)
-        share = self.own_load / total if total else even_share
+        share = self.own_load / total if total and self.by_name else even_share
         return max(MIN_LOAD_SHARE_FRACTION * even_share, share)
 
+    @property
+    def local_load_share(self) -> float:
+        """Return this host's share of the load of its data centre.
+
+        Recently lost hosts count, since they may be partitioned from this one only.
+        """
+        if not self.by_name:
+            return 1.0 / max(MIN_HOST_COUNT, self.host_count)
+        total = self.loads_by_data_centre[self.data_centre]
+        return self.own_load / total if total else 0.0
+
     @property
     def is_bridge(self) -> bool:
         """Return whether this host sends heartbeats to other data centres."""
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -404,16 +404,11 @@
 
     def _update_limit_shares(self) -> None:
         """Set this host's share of limits by host count and load in the data centre."""
-        peer_loads = [
-            status.load
-            for status in self.membership.live_hosts
-            if status.data_centre == self.settings.data_centre
-        ]
-        total = self._load + sum(peer_loads)
-        load_share = self._load / total if total else 0.0
-        data_centre_count = len(self.membership.host_counts_by_data_centre)
+        membership = self.membership
         self.registry.set_limit_shares(
-            self.membership.host_count, load_share, data_centre_count
+            membership.host_count,
+            membership.local_load_share,
+            membership.data_centre_count,
         )
         self.server_statements.set_share(self.membership.load_share)
 
--- a/packages/standins/crocusbay_standins/emulator/tests/deployment.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/deployment.py
@@ -126,6 +126,14 @@
         await caller.send_request(host.settings.caller_address, kind)
         caller.close()
 
+    def partition(self, groups):
+        """Partition the hosts of each group from those of all others."""
+        network = asyncio.get_running_loop().network
+        for group in groups:
+            for host in group:
+                for other in (each for each in sum(groups, []) if each not in group):
+                    network.partition(host.settings.ip, other.settings.ip)
+
     async def restart(self, hosts):
         for host in hosts:
             host.kill()
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
@@ -36,14 +36,6 @@
     return list(groups.values())
 
 
-def partition(network, groups):
-    """Partition the hosts of each group from those of all others."""
-    for group in groups:
-        for host in group:
-            for other in (each for each in sum(groups, []) if each not in group):
-                network.partition(host.settings.ip, other.settings.ip)
-
-
 @pytest.mark.parametrize("crash_mode", [CrashMode.RESET, CrashMode.SILENT])
 @pytest.mark.parametrize("target", [GATHER, FETCH, ORDER, f"{GATHER}@shard1"])
 @pytest.mark.parametrize("make_groups", [alone, pairs, halves, data_centres])
@@ -61,7 +53,7 @@
             is_renamed_on_restart=True,
         )
         await deployment.start()
-        partition(loop.network, make_groups(deployment.hosts))
+        deployment.partition(make_groups(deployment.hosts))
         await deployment.send_copies(24, interval=1.0)
         assert deployment.late_retries() <= MAX_LATE_RETRIES
 
