Tell other hosts which crashes a request did not cause

What callers saw: a request that crashes nothing is refused for ten minutes, as servers end for other reasons while they run copies of it. Crashes that are known over partitions make this likelier.

Cause: a response that shows that a request is harmless counted only at the host that received it, only if that host knew of a crash already, and only against crashes that were found before. A silent crash was dated when the attempt was given up, seconds after the server had ended.

Ruled out: crashes that count only if the server had run for a while, or a quarantine that lets a copy through now and then; both let copies of a request that does crash servers reach more of them.

Change: a crash is dated when the request was sent to the server. Hosts remember the responses to their latest 128 requests. Requests that crash each server get no response, so nothing changes for them.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -284,7 +284,7 @@
 
     def _handle_server_end(self) -> None:
         if self.exchange.is_sent:
-            self._crashes.suspect_end(self.server)
+            self._crashes.suspect_end(self.server, self.exchange.sent_at)
 
     def _observe_crash(self, verdict: Verdict) -> None:
         """Record whether the server crashed under the request or ran it to its end.
@@ -295,9 +295,9 @@
             case Ran(response) if response.is_success and response.signature:
                 self._crashes.record_response(self.server.entry.service)
             case MayHaveRun(Cause.RESET):
-                self._crashes.suspect_reset(self.server)
+                self._crashes.suspect_reset(self.server, self.exchange.sent_at)
             case MayHaveRun(Cause.SILENT):
-                self._crashes.suspect_silence(self.server)
+                self._crashes.suspect_silence(self.server, self.exchange.sent_at)
 
     def _interpret_response(self, verdict: Verdict) -> Verdict:
         """Return the verdict, or `NotRun` if the response states that nothing ran."""
--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -11,10 +11,10 @@
     request_fingerprint,
 )
 from crocusbay_gateway.coordination.registry import Server
-from crocusbay_gateway.coordination.sources import SOURCE_OWN
+from crocusbay_gateway.coordination.sources import SOURCE_OWN, SOURCE_PEER
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
-from crocusbay_gateway.protocol import CrashReport
+from crocusbay_gateway.protocol import CrashReport, DismissedCrash
 from crocusbay_gateway.state import CallerRequest, ServerEntry
 from crocusbay_gateway.transport import Listening
 
@@ -121,6 +121,23 @@
             )
             self.record_crash(report.fingerprint, crash, source)
 
+    def record_dismissals(self, dismissals: tuple[DismissedCrash, ...]) -> None:
+        """Count crashes no more that another host has dismissed."""
+        for dismissed in dismissals:
+            was_counted = dismissed.key in self.quarantine.crashes(
+                dismissed.fingerprint
+            )
+            if self.quarantine.dismiss(dismissed, self.now()):
+                self._changed.add(dismissed.fingerprint)
+            if was_counted:
+                self._log.info(
+                    "crashes-cleared",
+                    fingerprint=dismissed.fingerprint,
+                    server=dismissed.server,
+                    source=SOURCE_PEER,
+                    crashes=1,
+                )
+
     def confirm(self, revision: int) -> None:
         """Note that the crashes in the store are known up to a revision of it."""
         self.seen_revision = max(self.seen_revision, revision)
@@ -197,13 +214,13 @@
         monitor = self._monitor
         return monitor.quarantine.is_quarantined(self.fingerprint, monitor.now())
 
-    def suspect_reset(self, server: Server) -> None:
+    def suspect_reset(self, server: Server, sent_at: float) -> None:
         """Record a crash if nothing listens any more, or the server's entry ends.
 
         A connection may also be reset while the server runs on. Another process may
         accept connections at the address of a server that crashed.
         """
-        crash = self._make_crash(server.entry)
+        crash = self._make_crash(server.entry, sent_at)
         if server.has_ended:
             self._await_end(server, crash, "reset", Finding.ENDED)
             return
@@ -220,15 +237,16 @@
 
         server.pool.check_listening(handle_check)
 
-    def suspect_silence(self, server: Server) -> None:
+    def suspect_silence(self, server: Server, sent_at: float) -> None:
         """Record a crash if the server's entry has ended or ends soon.
 
         The link to the server may also be interrupted.
         """
         finding = Finding.ENDED if server.has_ended else Finding.LISTED
-        self._await_end(server, self._make_crash(server.entry), "silence", finding)
+        crash = self._make_crash(server.entry, sent_at)
+        self._await_end(server, crash, "silence", finding)
 
-    def suspect_end(self, server: Server) -> None:
+    def suspect_end(self, server: Server, sent_at: float) -> None:
         """Record a crash if a server whose entry has ended accepts no connection.
 
         A server may also leave without saying so, and finish its requests.
@@ -239,7 +257,7 @@
             if listening is not Listening.ACCEPTED:
                 self._record_crash(crash)
 
-        crash = self._make_crash(server.entry)
+        crash = self._make_crash(server.entry, sent_at)
         server.pool.check_listening(handle_check)
 
     def record_response(self, service: str) -> None:
@@ -257,7 +275,7 @@
     def _await_end(
         self, server: Server, crash: Crash, sign: str, finding: Finding | Listening
     ) -> None:
-        """Record a crash, as of when it was suspected, once the entry has ended."""
+        """Record a crash once the entry has ended."""
         self._log_suspicion(server, sign, finding)
         server.on_end(lambda: self._record_crash(crash), self._monitor.now())
 
@@ -268,11 +286,14 @@
             self.fingerprint, server.entry, self._request_id, sign, finding
         )
 
-    def _make_crash(self, entry: ServerEntry) -> Crash:
-        return Crash(entry.service, entry.name, entry.started_at, self._monitor.now())
+    def _make_crash(self, entry: ServerEntry, sent_at: float) -> Crash:
+        return Crash(entry.service, entry.name, entry.started_at, sent_at)
 
     def _record_crash(self, crash: Crash) -> None:
-        """Record a crash unless the service has responded since the suspicion."""
+        """Record a crash unless the service has responded since the request was sent.
+
+        A request that crashes servers gets no response from any server of a service.
+        """
         responded_at = self._responded_at_by_service.get(crash.service)
         if responded_at is not None and responded_at >= crash.crashed_at:
             return
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -155,6 +155,7 @@
             self._server_statements.reports_to_share(),
             membership.loads_by_data_centre if includes_contacts else {},
             membership.remote_hosts_to_share(is_cut_off=status.is_cut_off),
+            self._crash_monitor.quarantine.dismissals_to_share(self._timers.now()),
         )
 
     def _seed_addresses(self) -> list[str]:
@@ -185,6 +186,7 @@
         )
         self._server_statements.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
+        self._crash_monitor.record_dismissals(heartbeat.dismissed_crashes)
         self._crash_monitor.confirm(status.crashes_seen_revision)
         self._compare_views(status, now)
 
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -6,13 +6,13 @@
 
 import random
 from collections import OrderedDict, defaultdict
-from collections.abc import Collection, KeysView
+from collections.abc import Collection, Iterable, KeysView
 from dataclasses import dataclass, field, replace
 from itertools import islice
 
 import xxhash
 
-from crocusbay_gateway.protocol import CrashReport
+from crocusbay_gateway.protocol import CrashReport, DismissedCrash
 from crocusbay_gateway.state import CallerRequest
 
 CRASHES_TO_QUARANTINE = 3
@@ -26,6 +26,10 @@
 # Requests whose crashes are reported again to a host that was not reached; as many as
 # heartbeats have room for in that period.
 MAX_SHARED_AGAIN = 64
+# Dismissed crashes in one heartbeat, limited likewise.
+MAX_SHARED_DISMISSALS = 8
+# Requests whose latest responses are remembered, some seconds' worth at a host.
+MAX_RECENT_RESPONSES = 128
 # Crashes of one request in the store, limited so that they fit into an object.
 MAX_SAVED_CRASHES = 100
 
@@ -43,6 +47,7 @@
 class Crash:
     """Describe the crash of a server while it ran a request (seconds).
 
+    `crashed_at` is when the request was sent to the server, at the earliest.
     `server_started_at` distinguishes restarts under the same name. `is_unanswered` is
     whether no server responded to the copy of the request that the server ran.
     """
@@ -74,6 +79,13 @@
         """Return whether no server may run the request."""
         return bool(self.decisive_crashes())
 
+    def dismiss(self, key: tuple[str, int]) -> bool:
+        """Count a crash no more; return whether it was not dismissed yet."""
+        is_new = key not in self.dismissed
+        self.dismissed.add(key)
+        self.crash_by_server.pop(key, None)
+        return is_new
+
     def add(self, crash: Crash) -> None:
         """Add a crash unless a later response shows that it does not count."""
         responded_at = self.responded_at_by_service
@@ -132,8 +144,16 @@
 
     def __init__(self) -> None:
         self._by_fingerprint: OrderedDict[str, _Record] = OrderedDict()
+        # When servers responded, by service, for the latest requests.
+        self._responded_at_by_fingerprint: OrderedDict[str, dict[str, float]] = (
+            OrderedDict()
+        )
         # Requests with crashes to report, in the order of the next reports.
         self._shared_until: OrderedDict[str, float] = OrderedDict()
+        # Dismissed crashes to report, likewise.
+        self._dismissals_shared_until: OrderedDict[DismissedCrash, float] = (
+            OrderedDict()
+        )
         self._quarantined: OrderedDict[str, None] = OrderedDict()
 
     @property
@@ -150,15 +170,18 @@
         """Record a crash; return whether the request is quarantined by it."""
         if crash.crashed_at + CRASH_RETENTION_SECONDS < now:
             return False
-        record = self._by_fingerprint.setdefault(fingerprint, _Record())
+        record = self._record_of(fingerprint)
         crash_by_server = dict(record.crash_by_server)
         was_quarantined = record.is_quarantined
+        was_dismissed = crash.key in record.dismissed
         record.add(crash)
-        if record.crash_by_server == crash_by_server:
-            return False
+        if crash.key in record.dismissed and not was_dismissed:
+            self._share_dismissals(fingerprint, [crash.key], now)
         record.expires_at = max(
             record.expires_at, crash.crashed_at + CRASH_RETENTION_SECONDS
         )
+        if record.crash_by_server == crash_by_server:
+            return False
         self._by_fingerprint.move_to_end(fingerprint)
         while len(self._by_fingerprint) > MAX_FINGERPRINTS:
             self._forget(next(iter(self._by_fingerprint)))
@@ -171,14 +194,15 @@
 
     def record_response(self, fingerprint: str, service: str, now: float) -> int:
         """Record that a server ran a request; return how many crashes this affects."""
+        self._remember_response(fingerprint, service, now)
         record = self._by_fingerprint.get(fingerprint)
         if record is None:
             return 0
         previous = record.crash_by_server
         record.responded_at_by_service[service] = now
-        record.dismissed.update(
-            key for key, crash in previous.items() if crash.service == service
-        )
+        dismissed = [key for key, crash in previous.items() if crash.service == service]
+        record.dismissed.update(dismissed)
+        self._share_dismissals(fingerprint, dismissed, now)
         record.crash_by_server = {
             key: replace(crash, is_unanswered=False)
             for key, crash in previous.items()
@@ -190,6 +214,27 @@
             record.crash_by_server.get(key) != crash for key, crash in previous.items()
         )
 
+    def dismiss(self, dismissed: DismissedCrash, now: float) -> bool:
+        """Count a crash no more; return whether that is news to this host."""
+        record = self._record_of(dismissed.fingerprint)
+        if not record.dismiss(dismissed.key):
+            return False
+        record.expires_at = max(record.expires_at, now + CRASH_RETENTION_SECONDS)
+        if not record.is_quarantined:
+            self._quarantined.pop(dismissed.fingerprint, None)
+        self._share_dismissals(dismissed.fingerprint, [dismissed.key], now)
+        return True
+
+    def dismissals_to_share(self, now: float) -> tuple[DismissedCrash, ...]:
+        """Return the dismissed crashes of the next heartbeat."""
+        shared_until = self._dismissals_shared_until
+        for dismissed in [each for each, until in shared_until.items() if until < now]:
+            del shared_until[dismissed]
+        reports = tuple(islice(shared_until, MAX_SHARED_DISMISSALS))
+        for dismissed in reports:
+            shared_until.move_to_end(dismissed)
+        return reports
+
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is quarantined."""
         record = self._by_fingerprint.get(fingerprint)
@@ -259,6 +304,29 @@
             self._forget(fingerprint)
         return expired
 
+    def _record_of(self, fingerprint: str) -> _Record:
+        record = self._by_fingerprint.get(fingerprint)
+        if record is None:
+            record = _Record()
+            responded_at = self._responded_at_by_fingerprint.get(fingerprint, {})
+            record.responded_at_by_service.update(responded_at)
+            self._by_fingerprint[fingerprint] = record
+        return record
+
+    def _remember_response(self, fingerprint: str, service: str, now: float) -> None:
+        recent = self._responded_at_by_fingerprint
+        recent.setdefault(fingerprint, {})[service] = now
+        recent.move_to_end(fingerprint)
+        if len(recent) > MAX_RECENT_RESPONSES:
+            recent.popitem(last=False)
+
+    def _share_dismissals(
+        self, fingerprint: str, keys: Iterable[tuple[str, int]], now: float
+    ) -> None:
+        for key in keys:
+            dismissed = DismissedCrash(fingerprint, *key)
+            self._dismissals_shared_until[dismissed] = now + CRASH_SHARING_SECONDS
+
     def _forget(self, fingerprint: str) -> None:
         del self._by_fingerprint[fingerprint]
         self._shared_until.pop(fingerprint, None)
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_crash_monitor.py
@@ -174,6 +174,21 @@
     assert not monitor.quarantine.crashes(monitor.track(request).fingerprint)
 
 
+async def test_response_after_the_send_clears_a_silent_crash():
+    """Another copy is served while the first one waits for its deadline."""
+    gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
+    server = gateway.registry.choose_server("s")
+    gateway.set_script(server.entry.name, verdict=None)
+    request = make_request(gateway, deadline=2.0)
+    task = asyncio.ensure_future(make_handler(gateway, request, 1).run())
+    await gateway.timers.advance(0.1)
+    assert (await forward(gateway, request, max_attempts=1)).status == 200
+    await gateway.timers.advance(5.0)
+    assert task.done()
+    gateway.registry.apply_entries([remove(server.entry)])
+    assert not has_crash(gateway, request)
+
+
 async def test_response_during_the_check_of_an_address_clears_the_suspicion():
     gateway = SimulatedGateway({"s": [("s-1", "a"), ("s-2", "a")]})
     server = gateway.registry.choose_server("s")
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_peering.py
@@ -234,6 +234,11 @@
             lambda: second.quarantine.is_quarantined("f", second.timers.now()),
             first.peering.send_heartbeat,
         )
+        first.quarantine.record_response("f", "s", first.timers.now())
+        await wait_until(
+            lambda: not second.quarantine.is_quarantined("f", second.timers.now()),
+            first.peering.send_heartbeat,
+        )
 
 
 async def test_malformed_datagram_is_ignored():
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine.py
@@ -7,6 +7,7 @@
     CRASH_RETENTION_SECONDS,
     CRASH_SHARING_SECONDS,
     MAX_SHARED_CRASHES,
+    MAX_SHARED_DISMISSALS,
     Crash,
     Quarantine,
 )
@@ -68,6 +69,65 @@
     assert list(quarantine.crashes("f").values()) == [Crash("t", "d", 1, NOW)]
 
 
+@pytest.mark.parametrize(
+    ("service", "responded_at", "is_quarantined"),
+    [
+        # A response to another copy came after those of the crashes were sent.
+        ("s", NOW + 0.1, False),
+        ("s", NOW - 0.1, True),
+        ("t", NOW + 0.1, True),
+    ],
+)
+def test_response_counts_though_no_crash_was_known(
+    service, responded_at, is_quarantined
+):
+    quarantine = Quarantine()
+    quarantine.record_response("f", service, responded_at)
+    add_crashes(quarantine, "f", *(("s", name, 1, False) for name in "abc"))
+    assert quarantine.is_quarantined("f", NOW) == is_quarantined
+
+
+@pytest.mark.parametrize("is_response_first", [False, True])
+@pytest.mark.parametrize("is_report_first", [False, True])
+def test_host_tells_others_which_crashes_had_another_cause(
+    is_report_first, is_response_first
+):
+    sender, receiver = Quarantine(), Quarantine()
+    crashes = [("s", name, 1, False) for name in "abc"]
+
+    def learn_of_response():
+        sender.record_response("f", "s", NOW + 0.1)
+
+    if is_response_first:
+        learn_of_response()
+    add_crashes(sender, "f", *crashes)
+    if not is_response_first:
+        learn_of_response()
+    if is_report_first:
+        add_crashes(receiver, "f", *crashes)
+        assert receiver.is_quarantined("f", NOW)
+    dismissals = sender.dismissals_to_share(NOW + 1.0)
+    assert [receiver.dismiss(each, NOW + 1.0) for each in dismissals] == [True] * 3
+    assert not any(receiver.dismiss(each, NOW + 1.0) for each in dismissals)
+    if not is_report_first:
+        add_crashes(receiver, "f", *crashes)
+    assert not receiver.is_quarantined("f", NOW + 1.0)
+    # Hosts of other data centres may hear from the receiver only.
+    assert set(receiver.dismissals_to_share(NOW + 1.0)) == set(dismissals)
+    later = NOW + CRASH_SHARING_SECONDS + 2.0
+    assert sender.dismissals_to_share(later) == ()
+
+
+def test_dismissals_take_turns_in_heartbeats():
+    quarantine = Quarantine()
+    names = [f"s{number}" for number in range(2 * MAX_SHARED_DISMISSALS)]
+    add_crashes(quarantine, "f", *(("s", name, 1, False) for name in names))
+    quarantine.record_response("f", "s", NOW + 0.1)
+    shared = [quarantine.dismissals_to_share(NOW + 0.1) for _ in range(2)]
+    assert [len(each) for each in shared] == [MAX_SHARED_DISMISSALS] * 2
+    assert {each.server for each in sum(shared, ())} == set(names)
+
+
 def test_every_request_is_reported_while_it_is_quarantined():
     """Other hosts may start, or be reached again, at any time."""
     sender, receiver = (SimulatedGateway({}) for _ in range(2))
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
+from crocusbay_gateway.protocol import DismissedCrash
 from crocusbay_gateway.state import HostStatus
 
 pytestmark = pytest.mark.anyio
@@ -233,6 +234,16 @@
     assert not store.by_fingerprint
 
 
+async def test_crash_that_another_host_has_dismissed_is_removed():
+    store = FakeStore()
+    host = Host(store)
+    host.crash_servers(1)
+    await host.quarantine_store.synchronize()
+    host.monitor.record_dismissals((DismissedCrash("f", "s0", 1),))
+    await host.quarantine_store.synchronize()
+    assert not store.by_fingerprint
+
+
 async def test_removed_crashes_stay_removed_after_a_restore():
     store = FakeStore()
     host = Host(store)
--- a/packages/gateway/crocusbay_gateway/protocol/__init__.py
+++ b/packages/gateway/crocusbay_gateway/protocol/__init__.py
@@ -15,6 +15,7 @@
 )
 from crocusbay_gateway.protocol.peer import (
     CrashReport,
+    DismissedCrash,
     Heartbeat,
     KnownHost,
     ServerReport,
@@ -34,6 +35,7 @@
 __all__ = [
     "HOP_BY_HOP_HEADERS",
     "CrashReport",
+    "DismissedCrash",
     "HandoverCancel",
     "HandoverReply",
     "HandoverRequest",
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -42,6 +42,19 @@
         return self.server, self.server_started_at
 
 
+class DismissedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """Report a server crash that a request did not cause, as a response has shown."""
+
+    fingerprint: Name
+    server: Name
+    server_started_at: Ordinal = 0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies the server process."""
+        return self.server, self.server_started_at
+
+
 class ServerReport(msgspec.Struct, frozen=True, array_like=True):
     """Report what a server last stated, `age` seconds ago.
 
@@ -71,6 +84,7 @@
     server_limits: tuple[ServerReport, ...] = ()
     loads_by_data_centre: dict[Name, Rate] = {}
     remote_hosts: tuple[HostStatus, ...] = ()
+    dismissed_crashes: tuple[DismissedCrash, ...] = ()
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
--- a/packages/standins/crocusbay_standins/soak/servers.py
+++ b/packages/standins/crocusbay_standins/soak/servers.py
@@ -200,8 +200,7 @@
             self._pending_requests -= 1
         if self._is_crashed_by(target):
             if self.is_up:
-                self._crash_by_request()
-                self._restart_task = asyncio.ensure_future(self._restart())
+                self.end_by_itself()
             return self.crash_mode is CrashMode.SILENT
         return self._write_response(attempt_id, writer)
 
@@ -210,7 +209,12 @@
         _, mark, rest = target.partition(CRASH_MARK)
         return bool(mark) and rest.partition("@")[2] in ("", self.service)
 
-    def _crash_by_request(self) -> None:
+    def end_by_itself(self) -> None:
+        """End as a request that crashes the server makes it, and start again later."""
+        self._end()
+        self._restart_task = asyncio.ensure_future(self._restart())
+
+    def _end(self) -> None:
         match self.crash_mode:
             case CrashMode.RESET:
                 self.crash()
