Retry the store's calls for crashes at half a second, and guard two limits

Found on reading the diff, none seen: a store that is away was asked four times a second by hosts with crashes to save or to read; a change of the configuration that is read twice would hide another change; a host without a data centre would divide by zero; of over a hundred crashes of one request the earliest were kept, not the latest.

--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -115,7 +115,7 @@
     def data_centre_count(self) -> int:
         """Return the number of known data centres, including this host's own one."""
         places = {contact.data_centre for contact in self.contacts_by_name.values()}
-        return len(places.union(self.host_counts_by_data_centre) - {""})
+        return max(1, len(places.union(self.host_counts_by_data_centre) - {""}))
 
     @property
     def loads_by_data_centre(self) -> dict[str, float]:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -124,7 +124,8 @@
 ) -> tuple[CrashReport, ...]:
     """Return the known crashes of a request with others added, and some removed.
 
-    What is added replaces what is known of the same server process.
+    What is added replaces what is known of the same server process. Of many crashes,
+    the latest are kept.
     """
     by_key = {report.key: report for report in known}
     for report in added:
@@ -132,7 +133,7 @@
         if previous is None or previous.is_unanswered != report.is_unanswered:
             by_key[report.key] = report
     kept = [report for key, report in by_key.items() if key not in removed]
-    return tuple(kept[:MAX_SAVED_CRASHES])
+    return tuple(kept[-MAX_SAVED_CRASHES:])
 
 
 class Quarantine:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -21,6 +21,8 @@
 CrashKey = tuple[str, tuple[str, int]]
 
 SYNCHRONIZATION_INTERVAL_SECONDS = 0.25
+# Until the next try after the store has not responded, or rejected a call.
+RETRY_SECONDS = 0.5
 # Allows a host that has just started to receive heartbeats before it reads.
 STARTUP_DELAY_SECONDS = 0.2
 # Hosts that read after their start; the others learn from heartbeats. They also write
@@ -69,8 +71,10 @@
         """Synchronize until cancelled."""
         await self._timers.sleep(STARTUP_DELAY_SECONDS)
         while True:
-            await self.synchronize()
-            await self._timers.sleep(SYNCHRONIZATION_INTERVAL_SECONDS)
+            is_done = await self.synchronize()
+            await self._timers.sleep(
+                SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
+            )
 
     def observe_poll(
         self, after_revision: int, seen_revision: int, has_other_changes: bool
@@ -86,8 +90,11 @@
         self._changed.update(self._saved_by_fingerprint)
         self._saved_by_fingerprint.clear()
 
-    async def synchronize(self) -> None:
-        """Read, write and remove what is due; what fails is due again next time."""
+    async def synchronize(self) -> bool:
+        """Read, write and remove what is due; return whether the store took part.
+
+        What fails is due again next time.
+        """
         is_reader = self._membership.polling_rank(self._reaches_store()) < READERS
         self._changed |= self._crash_monitor.pop_changed()
         expired = self._crash_monitor.pop_expired()
@@ -105,6 +112,8 @@
                 await self._write(fingerprint)
         except StoreUnavailableError as error:
             self._log.info("quarantine-not-synchronized", reason=str(error))
+            return False
+        return True
 
     async def _read(self) -> None:
         self._is_outdated = False
--- a/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store_watcher.py
@@ -229,7 +229,7 @@
         )
         changes = change.change_count + sum(
             after_revision < revision <= change.seen_revision
-            for revision in self._change_revisions
+            for revision in set(self._change_revisions)
         )
         has_other_changes = change.seen_revision - after_revision != changes
         self._on_poll(after_revision, change.seen_revision, has_other_changes)
