--- a/packages/standins/crocusbay_standins/emulator/network.py
+++ b/packages/standins/crocusbay_standins/emulator/network.py
@@ -39,6 +39,8 @@
         self._streams: dict[StreamTransport, None] = {}
         self._partitioned_links: set[frozenset[str]] = set()
         self._refused_links: set[frozenset[str]] = set()
+        # Sources and targets between which datagrams are lost.
+        self._lossy_paths: set[tuple[str, str]] = set()
         self._next_port = FIRST_EPHEMERAL_PORT
 
     def draw_latency(self) -> float:
@@ -53,6 +55,10 @@
         """Partition two machines: datagrams are dropped, streams stall."""
         self._partitioned_links.add(frozenset((one, other)))
 
+    def drop_datagrams(self, source: str, target: str) -> None:
+        """Drop the datagrams that one machine sends to another one."""
+        self._lossy_paths.add((source, target))
+
     def refuse_connections(self, one: str, other: str) -> None:
         """Refuse new connections between two machines; open ones live on."""
         self._refused_links.add(frozenset((one, other)))
@@ -66,6 +72,7 @@
     def heal(self) -> None:
         """End all partitions and refusals, and resume the streams that stalled."""
         self._partitioned_links.clear()
+        self._lossy_paths.clear()
         self._refused_links.clear()
         for stream in list(self._streams):
             stream.resume_delivery()
@@ -115,6 +122,7 @@
         """Deliver a datagram unless it is lost or its target is not bound."""
         if (
             self.is_partitioned(source[0], target[0])
+            or (source[0], target[0]) in self._lossy_paths
             or self._rng.random() < self.loss_ratio
         ):
             return
--- a/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
+++ b/packages/standins/crocusbay_standins/emulator/tests/test_crashes_in_partitions.py
@@ -1,6 +1,7 @@
 """Crashes count at all hosts that reach the store, whichever hosts they hear."""
 
 import asyncio
+import random
 
 import msgspec
 import pytest
@@ -60,6 +61,54 @@
     loop.run_until_complete(main())
 
 
+async def change_groups(deployment):
+    """Partition the hosts into two groups, others each time."""
+    rng = random.Random(4)
+    while True:
+        hosts = rng.sample(deployment.hosts, len(deployment.hosts))
+        deployment.partition(halves(hosts))
+        await asyncio.sleep(5.5)
+        asyncio.get_running_loop().network.heal()
+        await asyncio.sleep(0.2)
+
+
+async def restart_in_groups(deployment):
+    """Restart one host after the other while they are partitioned into pairs."""
+    deployment.partition(pairs(deployment.hosts))
+    for host in deployment.hosts:
+        await asyncio.sleep(2.0)
+        host.kill()
+        await asyncio.sleep(1.0)
+        host.start()
+
+
+async def silence_hosts(deployment):
+    """Let no other host hear from all hosts but one, which they hear."""
+    network = asyncio.get_running_loop().network
+    for source in deployment.hosts[1:]:
+        for target in deployment.hosts:
+            if target is not source:
+                network.drop_datagrams(source.settings.ip, target.settings.ip)
+
+
+@pytest.mark.parametrize("target", [ORDER, f"{GATHER}@shard1"])
+@pytest.mark.parametrize("disrupt", [change_groups, restart_in_groups, silence_hosts])
+def test_crashes_count_while_links_between_hosts_change(
+    loop, tmp_path, disrupt, target
+):
+    async def main():
+        deployment = CrashingDeployment(
+            tmp_path, target, hosts=6, is_renamed_on_restart=True
+        )
+        await deployment.start()
+        disruption = asyncio.ensure_future(disrupt(deployment))
+        await deployment.send_copies(24, interval=1.0)
+        disruption.cancel()
+        assert deployment.late_retries() <= MAX_LATE_RETRIES
+
+    loop.run_until_complete(main())
+
+
 def test_crashes_are_not_read_for_changes_of_servers_and_configuration(loop, tmp_path):
     """Each call to the store has a price."""
 
