Excuse no host in soaks for a partition from other hosts

The platform counts a host as available that reaches the store, the servers and the callers, whichever hosts it hears. They partition hosts into two groups too, for longer than a host is missed.

--- a/packages/standins/crocusbay_standins/emulator/faults.py
+++ b/packages/standins/crocusbay_standins/emulator/faults.py
@@ -17,6 +17,7 @@
 # Longer than hosts need to detect an outage, shorter than they keep entries
 # without a store.
 MAX_OUTAGE_SECONDS = 6.0
+MIN_GROUPS_SECONDS = 3.0
 SLOW_STORE_DELAY_SECONDS = 0.5
 LOST_RESPONSE_RATIO = 0.5
 MAX_PAUSE_SECONDS = 0.4
@@ -31,6 +32,7 @@
             *super().available_faults(),
             self._partition_two_hosts,
             self._isolate_host,
+            self._partition_groups,
             self._drop_datagrams,
             self._offset_clock,
             self._kill_all_hosts,
@@ -58,12 +60,7 @@
     async def _partition_two_hosts(self, seconds: float) -> None:
         """Partition two hosts; both still reach everything else."""
         one, other = self._rng.sample(self._hosts, 2)
-        self._record(
-            f"partition {one.name} and {other.name}",
-            one.name,
-            other.name,
-            seconds=seconds,
-        )
+        self._log_partition(f"{one.name} and {other.name}", seconds)
         self._network.partition(one.settings.ip, other.settings.ip)
         await asyncio.sleep(seconds)
         self._network.heal()
@@ -71,13 +68,30 @@
     async def _isolate_host(self, seconds: float) -> None:
         """Partition a host from all other hosts."""
         host = self._rng.choice(self._hosts)
-        self._record(f"partition {host.name} from all hosts", seconds=seconds)
+        self._log_partition(f"{host.name} from all hosts", seconds)
         for other in self._hosts:
             if other is not host:
                 self._network.partition(host.settings.ip, other.settings.ip)
         await asyncio.sleep(seconds)
         self._network.heal()
 
+    async def _partition_groups(self, seconds: float) -> None:
+        """Partition the hosts into two groups, for longer than a host is missed."""
+        seconds += MIN_GROUPS_SECONDS
+        group = self._rng.sample(self._hosts, len(self._hosts) // 2)
+        names = ", ".join(sorted(host.name for host in group))
+        self._log_partition(f"{names} from all others", seconds)
+        for host in group:
+            for other in self._hosts:
+                if other not in group:
+                    self._network.partition(host.settings.ip, other.settings.ip)
+        await asyncio.sleep(seconds)
+        self._network.heal()
+
+    def _log_partition(self, text: str, seconds: float) -> None:
+        """Log a fault that excuses nothing: the hosts reach store and servers."""
+        self.log.append(f"{self._now():.1f} partition {text} for {seconds:.1f} s")
+
     async def _drop_datagrams(self, seconds: float) -> None:
         self._record("drop datagrams", seconds=seconds)
         self._network.loss_ratio = self._rng.uniform(0.0, MAX_LOSS_RATIO)
