Forget read times of crashes that the store has lost

Found on reading the diff: a host that writes crashes and never reads them kept the time of each for good, some 150 bytes for a crash. Nothing is decided differently. The two cases of the test fail before (there was no entry for each request).

--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -62,8 +62,8 @@
         self._saved_by_fingerprint: dict[str, dict[tuple[str, int], bool]] = {}
         # Fingerprints whose crashes may differ from those in the store.
         self._changed: set[str] = set()
-        # When this host first read or wrote a crash (seconds).
-        self._read_at_by_crash: dict[CrashKey, float] = {}
+        # When this host first read or wrote each crash in the store (seconds).
+        self._read_at_by_fingerprint: dict[str, dict[tuple[str, int], float]] = {}
         # Crashes that this host has removed lately, in the order of removal.
         self._removed: OrderedDict[CrashKey, None] = OrderedDict()
 
@@ -105,6 +105,7 @@
         else:
             for fingerprint in expired:
                 self._saved_by_fingerprint.pop(fingerprint, None)
+                self._read_at_by_fingerprint.pop(fingerprint, None)
         try:
             if self._is_outdated or (is_reader and not self._has_read):
                 await self._read()
@@ -132,12 +133,8 @@
             requests=len(self._saved_by_fingerprint),
             crashes=len(change.reports),
         )
-        read_at_by_crash = self._read_at_by_crash
-        self._read_at_by_crash = {}
-        for report in change.reports:
-            crash = report.fingerprint, report.key
-            if crash in read_at_by_crash:
-                self._read_at_by_crash[crash] = read_at_by_crash[crash]
+        for fingerprint in list(self._read_at_by_fingerprint):
+            self._keep_read_times(fingerprint)
         self._record(change.reports)
         self._crash_monitor.confirm(change.seen_revision)
 
@@ -176,8 +173,17 @@
             self._saved_by_fingerprint[fingerprint] = {
                 report.key: report.is_unanswered for report in (*reports, *held)
             }
+        self._keep_read_times(fingerprint)
         self._record(held)
 
+    def _keep_read_times(self, fingerprint: str) -> None:
+        """Forget when the crashes of a request were read that the store has lost."""
+        saved = self._saved_by_fingerprint.get(fingerprint, {})
+        read_at = self._read_at_by_fingerprint.pop(fingerprint, {})
+        kept = {key: at for key, at in read_at.items() if key in saved}
+        if kept:
+            self._read_at_by_fingerprint[fingerprint] = kept
+
     def _record(self, reports: tuple[CrashReport, ...]) -> None:
         """Record crashes in the store, which are as old as this host knows of them.
 
@@ -188,7 +194,10 @@
         for report in reports:
             crash = report.fingerprint, report.key
             if crash not in self._removed:
-                age = now - self._read_at_by_crash.setdefault(crash, now)
+                read_at = self._read_at_by_fingerprint.setdefault(
+                    report.fingerprint, {}
+                )
+                age = now - read_at.setdefault(report.key, now)
                 aged = msgspec.structs.replace(report, age=age)
                 self._crash_monitor.record_reports((aged,), SOURCE_STORE)
             if report.key not in quarantine.crashes(report.fingerprint):
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -244,6 +244,19 @@
     assert not store.by_fingerprint
 
 
+@pytest.mark.parametrize("others", [(), [f"host-{n}" for n in range(1, 12)]])
+async def test_nothing_is_kept_of_crashes_that_have_expired(others):
+    """Only a few hosts remove crashes from the store."""
+    store = FakeStore()
+    host = Host(store, "host-0", others)
+    host.crash_servers(2)
+    await host.quarantine_store.synchronize()
+    await host.timers.advance(CRASH_RETENTION_SECONDS + 1.0)
+    await host.quarantine_store.synchronize()
+    assert not host.quarantine_store._read_at_by_fingerprint
+    assert not host.quarantine_store._saved_by_fingerprint
+
+
 async def test_removed_crashes_stay_removed_after_a_restore():
     store = FakeStore()
     host = Host(store)
