--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -60,8 +60,9 @@
         self._is_outdated = False
         # For each crash in the store, whether no server responded to the copy.
         self._saved_by_fingerprint: dict[str, dict[tuple[str, int], bool]] = {}
-        # Fingerprints whose crashes may differ from those in the store.
-        self._changed: set[str] = set()
+        # Fingerprints whose crashes may differ from those in the store, in the order of
+        # writing: one that can't be written must not keep the others from it.
+        self._changed: dict[str, None] = {}
         # When this host first read or wrote each crash in the store (seconds).
         self._read_at_by_fingerprint: dict[str, dict[tuple[str, int], float]] = {}
         # Crashes that this host has removed lately, in the order of removal.
@@ -87,7 +88,7 @@
 
     def write_again(self) -> None:
         """Write what a restored store has lost, and remove what it has again."""
-        self._changed.update(self._saved_by_fingerprint)
+        self._mark_changed(self._saved_by_fingerprint)
         self._saved_by_fingerprint.clear()
 
     async def synchronize(self) -> bool:
@@ -96,12 +97,12 @@
         What fails is due again next time.
         """
         is_reader = self._membership.polling_rank(self._reaches_store()) < READERS
-        self._changed |= self._crash_monitor.pop_changed()
+        self._mark_changed(sorted(self._crash_monitor.pop_changed()))
         expired = self._crash_monitor.pop_expired()
         if is_reader:
-            self._changed.update(expired)
+            self._mark_changed(expired)
             quarantined = self._crash_monitor.quarantine.quarantined
-            self._changed |= quarantined - self._saved_by_fingerprint.keys()
+            self._mark_changed(sorted(quarantined - self._saved_by_fingerprint.keys()))
         else:
             for fingerprint in expired:
                 self._saved_by_fingerprint.pop(fingerprint, None)
@@ -109,13 +110,18 @@
         try:
             if self._is_outdated or (is_reader and not self._has_read):
                 await self._read()
-            for fingerprint in sorted(self._changed):
+            for fingerprint in list(self._changed):
                 await self._write(fingerprint)
         except StoreUnavailableError as error:
             self._log.info("quarantine-not-synchronized", reason=str(error))
             return False
         return True
 
+    def _mark_changed(self, fingerprints: Iterable[str]) -> None:
+        """Write the crashes of these requests, after those that wait already."""
+        for fingerprint in fingerprints:
+            self._changed.setdefault(fingerprint)
+
     async def _read(self) -> None:
         self._is_outdated = False
         try:
@@ -148,13 +154,13 @@
             if saved.get(report.key) != report.is_unanswered
         )
         removed = saved.keys() - quarantine.crashes(fingerprint).keys()
-        self._changed.discard(fingerprint)
+        self._changed.pop(fingerprint, None)
         if not (reports or removed):
             return
         try:
             held = await self._store.update_crash_reports(fingerprint, reports, removed)
         except StoreUnavailableError:
-            self._changed.add(fingerprint)
+            self._mark_changed([fingerprint])
             raise
         self._log.info(
             "crashes-saved",
@@ -201,4 +207,4 @@
                 aged = msgspec.structs.replace(report, age=age)
                 self._crash_monitor.record_reports((aged,), SOURCE_STORE)
             if report.key not in quarantine.crashes(report.fingerprint):
-                self._changed.add(report.fingerprint)
+                self._mark_changed([report.fingerprint])
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -32,6 +32,7 @@
         self.is_unavailable = False
         self.read_count = 0
         self.revision = 7
+        self.rejected = set()
 
     def _check(self):
         if self.is_unavailable:
@@ -39,6 +40,8 @@
 
     async def update_crash_reports(self, fingerprint, reports, removed=()):
         self._check()
+        if fingerprint in self.rejected:
+            raise StoreUnavailableError("status 400")
         known = self.by_fingerprint.get(fingerprint, ())
         held = merge_crash_reports(known, reports, removed)
         self.revision += held != known
@@ -76,10 +79,10 @@
             )
             self.membership.update(status, self.timers.now())
 
-    def crash_servers(self, count=3, is_unanswered=True, first=0):
+    def crash_servers(self, count=3, is_unanswered=True, first=0, fingerprint="f"):
         for number in range(first, first + count):
             crash = Crash("s", f"s{number}", 1, self.timers.now(), is_unanswered)
-            self.monitor.record_crash("f", crash, SOURCE_OWN)
+            self.monitor.record_crash(fingerprint, crash, SOURCE_OWN)
 
     def logged_events(self):
         lines = os.read(self._log_pipe, 1_000_000).splitlines()
@@ -257,6 +260,17 @@
     assert not host.quarantine_store._saved_by_fingerprint
 
 
+async def test_request_that_can_not_be_written_holds_up_no_other_one():
+    store = FakeStore()
+    store.rejected = {"a", "c"}
+    host = Host(store)
+    for fingerprint in "abcd":
+        host.crash_servers(fingerprint=fingerprint)
+    for _ in range(4):
+        await host.quarantine_store.synchronize()
+    assert store.by_fingerprint.keys() == {"b", "d"}
+
+
 async def test_removed_crashes_stay_removed_after_a_restore():
     store = FakeStore()
     host = Host(store)
