Share, save and resolve suspicions of crashes at all hosts

Cause: evidence was kept by the host that sent a copy until it amounted to a crash, seconds later. A silent attempt, or a reset behind an address that accepts connections, was a closure in the memory of that host.

Change: an attempt that is overdue, reset or silent is a suspicion at once. Hosts tell each other and save it, one object for each host, and each host finds out whether the server's entry ends. A copy is refused while crashes and suspicions would quarantine it. A host that restarts before it is missed is told what others know. What a host suspects is handed on as it stops.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -258,12 +258,23 @@
         if channel is not None and channel.current_exchange is exchange:
             channel.close()
 
+    def suspect_if_overdue(self, hedge_delays: float) -> None:
+        """Suspect a crash if there has been no response for so many hedge delays."""
+        exchange = self.exchange
+        if not exchange.is_sent or exchange.is_done:
+            return
+        elapsed = self._context.timers.now() - exchange.sent_at
+        if elapsed >= hedge_delays * self._latency.hedge_delay:
+            self._crashes.suspect(self.server, exchange.sent_at)
+
     def _finish(self, exchange: Exchange, verdict: Verdict) -> None:
+        self._note_response(verdict)
         verdict = self._interpret_response(verdict)
         self._record_verdict(exchange, verdict)
         self._on_verdict(self, verdict)
 
     def _finish_abandoned(self, exchange: Exchange, verdict: Verdict) -> None:
+        self._note_response(verdict)
         self._record_verdict(exchange, self._interpret_response(verdict))
 
     def _record_verdict(self, exchange: Exchange, verdict: Verdict) -> None:
@@ -278,6 +289,10 @@
         if not self.is_extra and isinstance(verdict, Ran):
             self._latency.add_sample(elapsed)
 
+    def _note_response(self, verdict: Verdict) -> None:
+        if isinstance(verdict, Ran):
+            self.server.responded_at = self._context.timers.now()
+
     def _record_finished(self, exchange: Exchange) -> None:
         self.server.health.record_finished(exchange)
         self.server.listener_by_exchange.pop(exchange, None)
--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -8,13 +8,23 @@
 from crocusbay_gateway.coordination.quarantine import (
     Crash,
     Quarantine,
+    decisive_crashes,
     request_fingerprint,
 )
 from crocusbay_gateway.coordination.registry import Server
 from crocusbay_gateway.coordination.sources import SOURCE_OWN, SOURCE_PEER
+from crocusbay_gateway.coordination.suspicions import (
+    HOLD_DELAY_SECONDS,
+    MAX_AGE_SECONDS,
+    REPEATED_SAVE_DELAY_SECONDS,
+    TRIAL_INTERVAL_SECONDS,
+    ProcessState,
+    Suspicion,
+    Suspicions,
+)
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.metrics import GatewayMetrics
-from crocusbay_gateway.protocol import CrashReport, DismissedCrash
+from crocusbay_gateway.protocol import CrashReport, DismissedCrash, SuspectedCrash
 from crocusbay_gateway.state import CallerRequest, ServerEntry
 from crocusbay_gateway.transport import Listening
 
@@ -32,7 +42,8 @@
 class CrashMonitor:
     """Update the quarantine, and log each change with its source.
 
-    `report` is called soon after each crash that this host observed.
+    `report` is called soon after each crash that this host observed. `find_state` and
+    `hidden_time` are those of `Suspicions`.
     """
 
     def __init__(
@@ -42,8 +53,15 @@
         metrics: GatewayMetrics,
         timers: TimerService,
         report: Callable[[], None] = lambda: None,
+        find_state: Callable[[Suspicion, float], ProcessState] = (
+            lambda suspicion, now: ProcessState.UNKNOWN
+        ),
+        hidden_time: Callable[[float], float] = lambda now: 0.0,
     ) -> None:
         self.quarantine = quarantine
+        self.suspicions = Suspicions(find_state, hidden_time)
+        # Called when a suspicion is due to be saved sooner than others.
+        self.on_repeated: Callable[[], None] = lambda: None
         # Store revision up to which the crashes in the store are known here.
         self.seen_revision = -1
         self.now: Callable[[], float] = timers.now
@@ -64,7 +82,11 @@
     ) -> None:
         """Record a crash that this host observed or that another host reported."""
         quarantine = self.quarantine
-        is_known = crash.key in quarantine.crashes(fingerprint)
+        suspicion = self.suspicions.remove(fingerprint, crash.key)
+        if suspicion is not None and suspicion.is_unanswered:
+            crash = replace(crash, is_unanswered=True)
+        known = quarantine.crashes(fingerprint).get(crash.key)
+        is_known = known is not None
         is_newly_quarantined = quarantine.record_crash(fingerprint, crash, self.now())
         crashes = quarantine.crashes(fingerprint)
         fields = {
@@ -80,8 +102,8 @@
             log_event(
                 "server-crashed", service=crash.service, server=crash.server, **fields
             )
-            if source == SOURCE_OWN:
-                self._report_soon()
+        if source == SOURCE_OWN and crashes.get(crash.key) != known:
+            self.report_soon()
         if source == SOURCE_OWN and crash.key in crashes:
             self._changed.add(fingerprint)
         if is_newly_quarantined:
@@ -127,6 +149,7 @@
             was_counted = dismissed.key in self.quarantine.crashes(
                 dismissed.fingerprint
             )
+            self.suspicions.remove(dismissed.fingerprint, dismissed.key)
             if self.quarantine.dismiss(dismissed, self.now()):
                 self._changed.add(dismissed.fingerprint)
             if was_counted:
@@ -138,6 +161,126 @@
                     crashes=1,
                 )
 
+    def suspect(self, suspicion: Suspicion, request_id: str, sign: str) -> bool:
+        """Record that a server may have crashed under a copy that this host sent.
+
+        Return whether that is news.
+        """
+        if self._is_judged(suspicion):
+            return False
+        if not self.suspicions.record(suspicion, self.now()):
+            return False
+        self._log.info(
+            "crash-suspected",
+            request=request_id,
+            fingerprint=suspicion.fingerprint,
+            service=suspicion.service,
+            server=suspicion.server,
+            server_started_at=suspicion.server_started_at,
+            sign=sign,
+            unanswered=suspicion.is_unanswered,
+        )
+        fingerprint = suspicion.fingerprint
+        known = self.quarantine.crashes(fingerprint).keys()
+        if len(known | self.suspicions.of_request(fingerprint).keys()) > 1:
+            self._timers.at(
+                self.now() + REPEATED_SAVE_DELAY_SECONDS, lambda: self.on_repeated()
+            )
+        return True
+
+    def record_suspicions(
+        self, reports: tuple[SuspectedCrash, ...], source: str
+    ) -> None:
+        """Record what another host suspects, or what the store holds of it."""
+        now = self.now()
+        for report in reports:
+            if report.age >= MAX_AGE_SECONDS:
+                continue
+            sent_at = now - report.age
+            responded_at = self.quarantine.responded_at_by_service(report.fingerprint)
+            suspicion = Suspicion(
+                report.fingerprint,
+                report.service,
+                report.server,
+                report.server_started_at,
+                sent_at,
+                now,
+                report.is_unanswered
+                and all(at < sent_at for at in responded_at.values()),
+            )
+            if self._is_judged(suspicion):
+                continue
+            if responded_at.get(report.service, float("-inf")) >= sent_at:
+                dismissed = DismissedCrash(report.fingerprint, *report.key)
+                self.quarantine.dismiss(dismissed, now)
+            elif self.suspicions.record(suspicion, now):
+                self._log.info(
+                    "crash-suspected",
+                    fingerprint=report.fingerprint,
+                    service=report.service,
+                    server=report.server,
+                    server_started_at=report.server_started_at,
+                    source=source,
+                    unanswered=suspicion.is_unanswered,
+                )
+
+    def _is_judged(self, suspicion: Suspicion) -> bool:
+        """Return whether the crash is certain already, or has another cause."""
+        fingerprint, key = suspicion.fingerprint, suspicion.key
+        quarantine = self.quarantine
+        return key in quarantine.crashes(fingerprint) or quarantine.is_dismissed(
+            fingerprint, key
+        )
+
+    def suspicions_to_save(
+        self, *, includes_others: bool, is_last: bool
+    ) -> list[Suspicion]:
+        """Return the suspicions that must outlive all hosts, see `Suspicions`."""
+        return self.suspicions.to_save(
+            self.now(),
+            lambda fingerprint: len(self.quarantine.crashes(fingerprint)),
+            includes_others=includes_others,
+            is_last=is_last,
+        )
+
+    def withdraw_suspicion(self, fingerprint: str, key: tuple[str, int]) -> None:
+        """Suspect a server no more that only another host did, and does no more."""
+        suspicion = self.suspicions.of_request(fingerprint).get(key)
+        if suspicion is not None and not suspicion.is_own:
+            self.suspicions.remove(fingerprint, key)
+
+    def review_suspicions(self) -> None:
+        """Record the crashes that are now certain, whichever host suspected them."""
+        for suspicion in self.suspicions.review(self.now()):
+            source = SOURCE_OWN if suspicion.is_own else SOURCE_PEER
+            self.record_crash(suspicion.fingerprint, suspicion.crash, source)
+
+    def suspected_count(self, fingerprint: str) -> int:
+        """Return how many suspicions keep a further copy from the servers, or 0.
+
+        They do if they would quarantine the request together with its crashes. A
+        service that has responded to a copy before, to this host or another, may have
+        lost responses to a harmless request. So may servers of which none has ended,
+        and one copy at a time finds that out.
+        """
+        if self.quarantine.has_dismissed(fingerprint):
+            return 0
+        now = self.now()
+        responded = self.quarantine.responded_at_by_service(fingerprint)
+        held = [
+            replace(each, is_unanswered=each.is_unanswered and not responded)
+            for each in self.suspicions.held(fingerprint, now)
+            if each.service not in responded
+            and each.known_since <= now - HOLD_DELAY_SECONDS
+        ]
+        crash_by_process = self.quarantine.crashes(fingerprint)
+        suspected_by_process = {each.key: each.crash for each in held}
+        if not decisive_crashes((suspected_by_process | crash_by_process).values()):
+            return 0
+        latest = max((each.known_since for each in held), default=now)
+        is_trial = not crash_by_process and latest <= now - TRIAL_INTERVAL_SECONDS
+        return 0 if is_trial else len(held)
+
     def confirm(self, revision: int) -> None:
         """Note that the crashes in the store are known up to a revision of it."""
         self.seen_revision = max(self.seen_revision, revision)
@@ -145,21 +288,32 @@
     def share_again(self) -> None:
         """Report the latest crashes once more, to a host that may have missed them."""
         self.quarantine.share_again(self.now())
+        self.suspicions.share_again(self.now())
 
-    def _report_soon(self) -> None:
+    def report_now(self) -> None:
+        """Report what is known, before a reply after which this host may be killed."""
+        self._is_report_due = False
+        self._report()
+
+    def report_soon(self) -> None:
+        """Report what is known, together with what is observed in the next moment."""
         if self._is_report_due:
             return
 
         def report() -> None:
-            self._is_report_due = False
-            self._report()
+            if self._is_report_due:
+                self.report_now()
 
         self._is_report_due = True
         self._timers.at(self.now() + REPORT_DELAY_SECONDS, report)
 
     def record_response(self, fingerprint: str, service: str, request_id: str) -> None:
         """Record that a server ran a request to its end."""
-        crash_count = self.quarantine.record_response(fingerprint, service, self.now())
+        now = self.now()
+        crash_count = self.quarantine.record_response(fingerprint, service, now)
+        for suspicion in self.suspicions.remove_service(fingerprint, service):
+            dismissed = DismissedCrash(fingerprint, *suspicion.key)
+            self.quarantine.dismiss(dismissed, now)
         if crash_count:
             self._log.warning(
                 "crashes-cleared",
@@ -191,6 +345,7 @@
         "_crash_by_server",
         "_has_ended",
         "_responded_at_by_service",
+        "_suspected",
     )
 
     def __init__(
@@ -203,6 +358,8 @@
         self._crash_by_server: dict[tuple[str, int], Crash] = {}
         self._has_ended = False
         self._responded_at_by_service: dict[str, float] = {}
+        # Processes that are suspected to have crashed under this copy.
+        self._suspected: set[tuple[str, int]] = set()
 
     @property
     def servers(self) -> list[str]:
@@ -224,6 +381,7 @@
         if server.has_ended:
             self._await_end(server, crash, "reset", Finding.ENDED)
             return
+        self._suspect(crash, "reset")
 
         def handle_check(listening: Listening) -> None:
             if (
@@ -237,6 +395,32 @@
 
         server.pool.check_listening(handle_check)
 
+    def suspect(self, server: Server, sent_at: float) -> None:
+        """Suspect a crash, as there has been no response for longer than usual."""
+        is_news = self._suspect(self._make_crash(server.entry, sent_at), "overdue")
+        if is_news and not self.has_response:
+            self._monitor.report_soon()
+
+    def _suspect(self, crash: Crash, sign: str) -> bool:
+        """Record that a server may have crashed; return whether that is news."""
+        if self._is_answered(crash):
+            return False
+        self._suspected.add(crash.key)
+        return self._monitor.suspect(
+            Suspicion(
+                self.fingerprint,
+                crash.service,
+                crash.server,
+                crash.server_started_at,
+                crash.crashed_at,
+                self._monitor.now(),
+                is_unanswered=not self.has_response,
+                is_own=True,
+            ),
+            self._request_id,
+            sign,
+        )
+
     def suspect_silence(self, server: Server, sent_at: float) -> None:
         """Record a crash if the server's entry has ended or ends soon.
 
@@ -262,7 +446,11 @@
 
     def record_response(self, service: str) -> None:
         """Record that a server of the service ran the request to its end."""
-        self.has_response = True
+        if not self.has_response:
+            self.has_response = True
+            self._monitor.suspicions.mark_answered(
+                self.fingerprint, self._suspected, self._monitor.now()
+            )
         self._responded_at_by_service[service] = self._monitor.now()
         self._monitor.record_response(self.fingerprint, service, self._request_id)
 
@@ -271,12 +459,16 @@
         self._has_ended = True
         for crash in self._crash_by_server.values():
             self._record(crash)
+        if not self.has_response and (self._suspected or self._crash_by_server):
+            self._monitor.report_now()
 
     def _await_end(
         self, server: Server, crash: Crash, sign: str, finding: Finding | Listening
     ) -> None:
         """Record a crash once the entry has ended."""
         self._log_suspicion(server, sign, finding)
+        if not server.has_ended:
+            self._suspect(crash, sign)
         server.on_end(lambda: self._record_crash(crash), self._monitor.now())
 
     def _log_suspicion(
@@ -294,12 +486,16 @@
 
         A request that crashes servers gets no response from any server of a service.
         """
-        responded_at = self._responded_at_by_service.get(crash.service)
-        if responded_at is not None and responded_at >= crash.crashed_at:
+        if self._is_answered(crash):
             return
         self._crash_by_server.setdefault(crash.key, crash)
         self._record(crash)
 
+    def _is_answered(self, crash: Crash) -> bool:
+        """Return whether the service has responded since the request was sent."""
+        responded_at = self._responded_at_by_service.get(crash.service)
+        return responded_at is not None and responded_at >= crash.crashed_at
+
     def _record(self, crash: Crash) -> None:
         is_unanswered = self._has_ended and not self.has_response
         self._monitor.record_crash(
--- a/packages/gateway/crocusbay_gateway/coordination/forward.py
+++ b/packages/gateway/crocusbay_gateway/coordination/forward.py
@@ -43,13 +43,12 @@
         latency: RouteLatency,
         give_up_at: float,
     ) -> None:
-        super().__init__(context, request)
+        super().__init__(context, request, latency)
         self.retries = 0
         self.hedges = 0
         self._request = request
         self._route = route
         self._service = service
-        self._latency = latency
         self._give_up_at = give_up_at
         self._attempt_factory = AttemptFactory(
             context, request, route, latency, give_up_at, self._crashes
@@ -272,6 +271,9 @@
             outcome=outcome,
         )
 
+    def _open_attempts(self) -> list[Attempt]:
+        return list(self._in_flight)
+
     def _abandon_attempts(self, *, immediately: bool) -> None:
         for attempt in self._in_flight:
             if self._route.is_idempotent or not attempt.exchange.is_sent:
--- a/packages/gateway/crocusbay_gateway/coordination/gather.py
+++ b/packages/gateway/crocusbay_gateway/coordination/gather.py
@@ -51,13 +51,12 @@
         self.sub_requests = [
             SubRequestState(service) for service in route.target.services
         ]
-        super().__init__(context, request)
+        super().__init__(context, request, latency)
         self.hedges = 0
         self.retries = 0
         self._request = request
         self._route = route
         self._target: ToShards = route.target
-        self._latency = latency
         self._policy = policy
         self._attempt_factory = AttemptFactory(
             context, request, route, latency, policy.give_up_at, self._crashes
@@ -373,6 +372,11 @@
         self._has_policy_timer = False
         self._apply_policy()
 
+    def _open_attempts(self) -> list[Attempt]:
+        return list(
+            chain.from_iterable(each.open_attempts for each in self.sub_requests)
+        )
+
     def _abandon_attempts(self, *, immediately: bool) -> None:
         for sub_request in self.sub_requests:
             for attempt in sub_request.open_attempts:
--- a/packages/gateway/crocusbay_gateway/coordination/membership.py
+++ b/packages/gateway/crocusbay_gateway/coordination/membership.py
@@ -178,13 +178,20 @@
         )
 
     def update(self, status: HostStatus, now: float) -> bool:
-        """Store a newer host status; return whether the host is new or was lost."""
+        """Store a newer host status; return whether it lacks what others know.
+
+        A host does if it is new, was lost, or has restarted before it was missed.
+        """
         if status.name == self.name:
             return False
         record = self.by_name.get(status.name)
         if record and not record.is_replaced_by(status):
             return False
-        is_new = record is None or record.is_lost
+        is_new = (
+            record is None
+            or record.is_lost
+            or record.status.incarnation != status.incarnation
+        )
         self.by_name[status.name] = MemberRecord(status, now)
         self.contacts_by_name[status.name] = KnownHost(
             status.name, status.peer_address, status.data_centre
--- a/packages/gateway/crocusbay_gateway/coordination/peering.py
+++ b/packages/gateway/crocusbay_gateway/coordination/peering.py
@@ -163,6 +163,7 @@
             membership.loads_by_data_centre if includes_contacts else {},
             membership.remote_hosts_to_share(is_cut_off=status.is_cut_off),
             self._crash_monitor.quarantine.dismissals_to_share(self._timers.now()),
+            self._crash_monitor.suspicions.to_share(self._timers.now()),
         )
 
     def _seed_addresses(self) -> list[str]:
@@ -194,6 +195,7 @@
         self._server_statements.record_reports(heartbeat.server_limits)
         self._crash_monitor.record_reports(heartbeat.crash_reports, SOURCE_PEER)
         self._crash_monitor.record_dismissals(heartbeat.dismissed_crashes)
+        self._crash_monitor.record_suspicions(heartbeat.suspected_crashes, SOURCE_PEER)
         self._crash_monitor.confirm(status.crashes_seen_revision)
         self._compare_views(status, now)
 
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import OrderedDict, defaultdict
-from collections.abc import Collection, Iterable, KeysView
+from collections.abc import Collection, Iterable, KeysView, Mapping
 from dataclasses import dataclass, field, replace
 from itertools import islice
 
@@ -101,22 +101,25 @@
 
     def decisive_crashes(self) -> list[Crash]:
         """Return the crashes that quarantine the request, or none if it is not."""
-        by_service: dict[str, list[Crash]] = defaultdict(list)
-        for crash in self.crash_by_server.values():
-            by_service[crash.service].append(crash)
-        unanswered = [
-            crash for crash in self.crash_by_server.values() if crash.is_unanswered
-        ]
-        for crashes in (unanswered, *by_service.values()):
-            if len(crashes) >= CRASHES_TO_QUARANTINE:
-                return crashes[:CRASHES_TO_QUARANTINE]
-        return []
+        return decisive_crashes(self.crash_by_server.values())
 
     def crashes_to_report(self) -> list[Crash]:
         """Return the crashes that other hosts need to know."""
         return self.decisive_crashes() or list(self.crash_by_server.values())
 
 
+def decisive_crashes(crashes: Collection[Crash]) -> list[Crash]:
+    """Return those of the crashes that quarantine a request, or none."""
+    by_service: dict[str, list[Crash]] = defaultdict(list)
+    for crash in crashes:
+        by_service[crash.service].append(crash)
+    unanswered = [crash for crash in crashes if crash.is_unanswered]
+    for counted in (unanswered, *by_service.values()):
+        if len(counted) >= CRASHES_TO_QUARANTINE:
+            return counted[:CRASHES_TO_QUARANTINE]
+    return []
+
+
 def merge_crash_reports(
     known: tuple[CrashReport, ...],
     added: Collection[CrashReport],
@@ -243,6 +246,20 @@
             return False
         return record.is_quarantined
 
+    def is_dismissed(self, fingerprint: str, key: tuple[str, int]) -> bool:
+        """Return whether a response has shown that a crash has another cause."""
+        record = self._by_fingerprint.get(fingerprint)
+        return record is not None and key in record.dismissed
+
+    def has_dismissed(self, fingerprint: str) -> bool:
+        """Return whether a response has shown another cause of any crash."""
+        record = self._by_fingerprint.get(fingerprint)
+        return record is not None and bool(record.dismissed)
+
+    def responded_at_by_service(self, fingerprint: str) -> Mapping[str, float]:
+        """Return when the servers of services last responded to a request, if known."""
+        return self._responded_at_by_fingerprint.get(fingerprint, {})
+
     def crashes(self, fingerprint: str) -> dict[tuple[str, int], Crash]:
         """Return the known crashes of a request, by server."""
         record = self._by_fingerprint.get(fingerprint)
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+import anyio
 import msgspec
 
 from crocusbay.transport.timers import TimerService
@@ -14,6 +15,7 @@
 from crocusbay_gateway.coordination.membership import Membership
 from crocusbay_gateway.coordination.sources import SOURCE_STORE
 from crocusbay_gateway.coordination.store import Store, StoreUnavailableError
+from crocusbay_gateway.coordination.suspicion_store import SuspicionStore
 from crocusbay_gateway.log import EventLog
 from crocusbay_gateway.protocol import CrashReport
 
@@ -67,15 +69,37 @@
         self._read_at_by_fingerprint: dict[str, dict[tuple[str, int], float]] = {}
         # Crashes that this host has removed lately, in the order of removal.
         self._removed: OrderedDict[CrashKey, None] = OrderedDict()
+        self._suspicion_store = SuspicionStore(
+            membership.name,
+            crash_monitor,
+            store,
+            self._is_saved,
+            log,
+            timers,
+        )
+        self._is_due = anyio.Event()
+        crash_monitor.on_repeated = lambda: self._is_due.set()
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
         await self._timers.sleep(STARTUP_DELAY_SECONDS)
         while True:
             is_done = await self.synchronize()
-            await self._timers.sleep(
-                SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
-            )
+            delay = SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
+            self._is_due = due = anyio.Event()
+            timer = self._timers.at(self._timers.now() + delay, due.set)
+            await due.wait()
+            timer.cancel()
+
+    async def flush(self) -> None:
+        """Write what this host knows before it stops."""
+        self._mark_changed(sorted(self._crash_monitor.pop_changed()))
+        try:
+            await self._suspicion_store.write(is_first=False, is_last=True)
+            for fingerprint in list(self._changed):
+                await self._write(fingerprint)
+        except StoreUnavailableError as error:
+            self._log.info("quarantine-not-synchronized", reason=str(error))
 
     def observe_poll(
         self, after_revision: int, seen_revision: int, has_other_changes: bool
@@ -90,13 +114,16 @@
         """Write what a restored store has lost, and remove what it has again."""
         self._mark_changed(self._saved_by_fingerprint)
         self._saved_by_fingerprint.clear()
+        self._suspicion_store.write_again()
 
     async def synchronize(self) -> bool:
         """Read, write and remove what is due; return whether the store took part.
 
         What fails is due again next time.
         """
-        is_reader = self._membership.polling_rank(self._reaches_store()) < READERS
+        rank = self._membership.polling_rank(self._reaches_store())
+        is_reader = rank < READERS
+        self._crash_monitor.review_suspicions()
         self._mark_changed(sorted(self._crash_monitor.pop_changed()))
         expired = self._crash_monitor.pop_expired()
         if is_reader:
@@ -112,11 +139,21 @@
                 await self._read()
             for fingerprint in list(self._changed):
                 await self._write(fingerprint)
+            await self._suspicion_store.write(is_first=rank == 0)
         except StoreUnavailableError as error:
             self._log.info("quarantine-not-synchronized", reason=str(error))
             return False
         return True
 
+    def _is_saved(self, fingerprint: str) -> bool:
+        """Return whether the store holds a request's crashes; write them if not."""
+        if fingerprint in self._changed:
+            return False
+        if fingerprint not in self._saved_by_fingerprint:
+            self._mark_changed([fingerprint])
+            return False
+        return True
+
     def _mark_changed(self, fingerprints: Iterable[str]) -> None:
         """Write the crashes of these requests, after those that wait already."""
         for fingerprint in fingerprints:
@@ -138,10 +175,12 @@
             "crashes-read",
             requests=len(self._saved_by_fingerprint),
             crashes=len(change.reports),
+            suspicions=sum(map(len, change.suspicions_by_host.values())),
         )
         for fingerprint in list(self._read_at_by_fingerprint):
             self._keep_read_times(fingerprint)
         self._record(change.reports)
+        self._suspicion_store.observe(change.suspicions_by_host)
         self._crash_monitor.confirm(change.seen_revision)
 
     async def _write(self, fingerprint: str) -> None:
--- a/packages/gateway/crocusbay_gateway/coordination/registry.py
+++ b/packages/gateway/crocusbay_gateway/coordination/registry.py
@@ -52,6 +52,8 @@
     rest_until: float = float("-inf")
     # From when the server may end as planned, with requests in progress.
     may_exit_at: float = float("inf")
+    # When a response of the process was last received (seconds).
+    responded_at: float = float("-inf")
     # Whether the entry was removed or replaced although the server had not left.
     has_ended: bool = False
     # Called at such an end, by the exchange that is in progress.
@@ -259,6 +261,15 @@
             return None
         return server
 
+    def has_left(self, name: str, started_at: int) -> bool:
+        """Return whether a process has stated that it leaves."""
+        return (name, started_at) in self._leaving_since
+
+    def is_replaced(self, name: str, started_at: int) -> bool:
+        """Return whether another process has taken the name of one."""
+        server = self._by_name.get(name)
+        return server is not None and server.entry.started_at != started_at
+
     def send_delay(self, service: str, *, is_urgent: bool) -> float:
         """Return the time until a server of the service may get a send (seconds)."""
         now = self._timers.now()
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -10,6 +10,10 @@
 from crocusbay_gateway.coordination.crash_monitor import RequestCrashes
 from crocusbay_gateway.coordination.quarantine import request_fingerprint
 from crocusbay_gateway.coordination.records import TopRecords, greatest_records
+from crocusbay_gateway.coordination.request_handler import (
+    MAX_TIMER_DELAY_SECONDS,
+    OVERDUE_HEDGE_DELAYS,
+)
 from crocusbay_gateway.protocol import (
     RelayCancel,
     RelayedFailure,
@@ -70,6 +74,7 @@
         self._is_past_flush_delay = False
         self._has_ended = False
         self._timer: Timer
+        self._overdue_timer: Timer
 
     def start(self) -> None:
         """Send the request to each server that is available."""
@@ -77,6 +82,7 @@
         self._timer = self._context.timers.at(
             now + self._query.flush_after, self._flush_on_timer
         )
+        self._watch_overdue()
         attempts = []
         for index, sub_request in enumerate(self._query.sub_requests):
             server = self._context.registry.find_server(
@@ -115,6 +121,21 @@
             attempt.send()
         self._flush_if_needed()
 
+    def _watch_overdue(self) -> None:
+        """Suspect crashes of servers that don't respond, until all have."""
+        delay = OVERDUE_HEDGE_DELAYS * self._latency.hedge_delay
+        due_at = self._context.timers.now() + delay
+
+        def check() -> None:
+            if self._has_ended:
+                return
+            if self._context.timers.now() < due_at + MAX_TIMER_DELAY_SECONDS:
+                for attempt in self._in_flight.values():
+                    attempt.suspect_if_overdue(OVERDUE_HEDGE_DELAYS)
+            self._watch_overdue()
+
+        self._overdue_timer = self._context.timers.at(due_at, check)
+
     def cancel_sub_requests(self, indices: tuple[int, ...]) -> None:
         """Cancel the sub-requests with these indices in the query."""
         for index in indices:
@@ -201,6 +222,7 @@
         if not self._in_flight:
             self._has_ended = True
             self._timer.cancel()
+            self._overdue_timer.cancel()
             self._on_end()
 
 
--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -6,10 +6,18 @@
 
 from crocusbay.state import Cause
 from crocusbay.transport.timers import Timer
+from crocusbay_gateway.coordination.attempt import Attempt, RouteLatency
 from crocusbay_gateway.coordination.context import Context
 from crocusbay_gateway.coordination.planned_stop import PlannedStop
 from crocusbay_gateway.state import CallerRequest, Reply
 
+# A server that has not responded for so many hedge delays may have crashed.
+OVERDUE_HEDGE_DELAYS = 2.0
+# The same when the copy ends without a response.
+ENDED_HEDGE_DELAYS = 1.0
+# Responses may wait to be read if a timer is later than this.
+MAX_TIMER_DELAY_SECONDS = 0.05
+
 Outcome = TypeVar("Outcome")
 _INTERRUPTED = object()
 
@@ -17,8 +25,11 @@
 class RequestHandler(Generic[Outcome]):
     """Serve one request: start, wait for the outcome, clean up and build the reply."""
 
-    def __init__(self, context: Context, request: CallerRequest) -> None:
+    def __init__(
+        self, context: Context, request: CallerRequest, latency: RouteLatency
+    ) -> None:
         self._context = context
+        self._latency = latency
         self._crashes = context.crash_monitor.track(request)
         self._now = context.timers.now
         self._done: asyncio.Future[Outcome]
@@ -36,11 +47,14 @@
         is_finished = False
         try:
             self._start()
+            self._watch_overdue()
             outcome = await self._done
             is_finished = outcome is not _INTERRUPTED
         finally:
             for timer in self._timers:
                 timer.cancel()
+            if not self._crashes.has_response:
+                self._suspect_overdue(ENDED_HEDGE_DELAYS)
             self._abandon_attempts(immediately=not is_finished)
             self._crashes.end()
         return self._make_reply(outcome) if is_finished else None
@@ -80,6 +94,25 @@
         """Abandon open attempts; cancel them immediately or after a grace period."""
         raise NotImplementedError
 
+    def _open_attempts(self) -> list[Attempt]:
+        """Return the attempts without a verdict."""
+        raise NotImplementedError
+
+    def _watch_overdue(self) -> None:
+        """Suspect crashes of servers that don't respond, while the copy runs."""
+        due_at = self._now() + OVERDUE_HEDGE_DELAYS * self._latency.hedge_delay
+
+        def check() -> None:
+            if self._now() < due_at + MAX_TIMER_DELAY_SECONDS:
+                self._suspect_overdue(OVERDUE_HEDGE_DELAYS)
+            self._watch_overdue()
+
+        self._call_at(due_at, check)
+
+    def _suspect_overdue(self, hedge_delays: float) -> None:
+        for attempt in self._open_attempts():
+            attempt.suspect_if_overdue(hedge_delays)
+
     def _make_reply(self, outcome: Outcome) -> Reply:
         raise NotImplementedError
 
--- a/packages/gateway/crocusbay_gateway/coordination/service.py
+++ b/packages/gateway/crocusbay_gateway/coordination/service.py
@@ -54,6 +54,8 @@
 RECENT_RESPONSE_SECONDS = 0.5
 # A host that does not reply within this multiple of the goal may be cut off as well.
 HANDOVER_TIMEOUT_GOALS = 3.0
+# Most servers that are suspected to have crashed respond to another request by then.
+SUSPECTED_RETRY_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -279,6 +281,17 @@
                 fingerprint=crashes.fingerprint,
             )
             return route, make_refusal(Cause.QUARANTINED)
+        suspected = self._context.crash_monitor.suspected_count(crashes.fingerprint)
+        if suspected:
+            self._context.log.warning(
+                "quarantine-refusal",
+                request=request.attempt_id,
+                fingerprint=crashes.fingerprint,
+                suspected=suspected,
+            )
+            return route, make_refusal(
+                Cause.QUARANTINED, retry_after=SUSPECTED_RETRY_SECONDS
+            )
         return route, None
 
     def admit_relay(self, query: RelayQuery) -> tuple[Route, RouteLatency] | Cause:
--- a/packages/gateway/crocusbay_gateway/coordination/store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/store.py
@@ -1,12 +1,15 @@
 """Interface to the platform's metadata store."""
 
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
-from crocusbay_gateway.protocol import CrashReport, KnownHost
+from crocusbay_gateway.protocol import CrashReport, KnownHost, SuspectedCrash
 from crocusbay_gateway.state import Configuration, ServerEntry
 
+# Identifies a suspicion: the fingerprint of the request, and the server process.
+SuspicionKey = tuple[str, tuple[str, int]]
+
 
 class StoreUnavailableError(Exception):
     """Signal that the store did not respond to a call, or rejected it."""
@@ -46,10 +49,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashReportList:
-    """List crashes and the store revision read up to."""
+    """List crashes, what each host suspects, and the store revision read up to."""
 
     seen_revision: int
     reports: tuple[CrashReport, ...] = ()
+    suspicions_by_host: Mapping[str, tuple[SuspectedCrash, ...]] = field(
+        default_factory=dict
+    )
 
 
 class Store(Protocol):
@@ -104,5 +110,16 @@
         start.
         """
 
+    async def update_suspicions(
+        self,
+        host: str,
+        added: tuple[SuspectedCrash, ...],
+        removed: Collection[SuspicionKey] = (),
+    ) -> tuple[SuspectedCrash, ...]:
+        """Add to what the store holds that a host suspects, and remove some of it.
+
+        Return what the store then holds.
+        """
+
     async def list_crash_reports(self) -> CrashReportList:
-        """Return the crashes that the store holds."""
+        """Return the crashes and suspicions that the store holds."""
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_quarantine_store.py
@@ -17,6 +17,7 @@
     CrashReportList,
     StoreUnavailableError,
 )
+from crocusbay_gateway.coordination.suspicions import merge_suspicions
 from crocusbay_gateway.coordination.tests.simulation import SimulatedGateway
 from crocusbay_gateway.protocol import DismissedCrash
 from crocusbay_gateway.state import HostStatus
@@ -29,6 +30,7 @@
 
     def __init__(self):
         self.by_fingerprint = {}
+        self.suspicions_by_host = {}
         self.is_unavailable = False
         self.read_count = 0
         self.revision = 7
@@ -50,11 +52,20 @@
             del self.by_fingerprint[fingerprint]
         return held
 
+    async def update_suspicions(self, host, added, removed=()):
+        self._check()
+        held = merge_suspicions(self.suspicions_by_host.get(host, ()), added, removed)
+        self.revision += held != self.suspicions_by_host.get(host, ())
+        self.suspicions_by_host[host] = held
+        if not held:
+            del self.suspicions_by_host[host]
+        return held
+
     async def list_crash_reports(self):
         self._check()
         self.read_count += 1
         reports = sum(self.by_fingerprint.values(), ())
-        return CrashReportList(self.revision, reports)
+        return CrashReportList(self.revision, reports, dict(self.suspicions_by_host))
 
 
 class Host:
--- a/packages/gateway/crocusbay_gateway/gateway.py
+++ b/packages/gateway/crocusbay_gateway/gateway.py
@@ -31,6 +31,7 @@
 from crocusbay_gateway.coordination.registry import Registry
 from crocusbay_gateway.coordination.relay_client import RelayClients
 from crocusbay_gateway.coordination.server_prober import ServerProber
+from crocusbay_gateway.coordination.server_processes import ServerProcesses
 from crocusbay_gateway.coordination.server_statements import ServerStatements
 from crocusbay_gateway.coordination.service import RequestService
 from crocusbay_gateway.coordination.sources import SOURCE_STORE
@@ -54,6 +55,8 @@
 # Weight of the newest sample, one per heartbeat, in the smoothed load.
 LOAD_SMOOTHING = 0.2
 STOP_CHECK_INTERVAL_SECONDS = 0.05
+# For the last call to the store, of a host that suspects servers to have crashed.
+HAND_ON_SECONDS = 0.15
 # Between attempts to listen on an address that is in use.
 LISTEN_RETRY_SECONDS = 0.25
 TRAFFIC_LOG_INTERVAL_SECONDS = 10.0
@@ -190,12 +193,15 @@
             lambda size: self.metrics.remote_bytes.add(size, "server"),
             self._receive_budget,
         )
+        server_processes = ServerProcesses(self.registry, self.servers)
         self.crash_monitor = CrashMonitor(
             Quarantine(),
             self.log,
             self.metrics,
             self.timers,
             lambda: self.peering.send_heartbeat(),
+            server_processes.find_state,
+            server_processes.hidden_time,
         )
         self.server_statements = ServerStatements(
             self.registry, self.log, self.metrics, self.timers
@@ -330,10 +336,17 @@
         await self._wait_for_requests(stop.answer_by)
         self.caller_server.stop_reading()
         await self._wait_for_requests(stop.end_by)
+        await self._hand_on_suspicions()
         self.registry.close()
         # The last replies to other hosts may still be on their way.
         await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
 
+    async def _hand_on_suspicions(self) -> None:
+        """Tell other hosts and the store which servers may have crashed."""
+        self.crash_monitor.report_now()
+        with anyio.move_on_after(HAND_ON_SECONDS):
+            await self.quarantine_store.flush()
+
     async def _wait_for_requests(self, until: float) -> None:
         while self._has_requests and self.timers.now() < until:
             await self.timers.sleep(STOP_CHECK_INTERVAL_SECONDS)
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -42,6 +42,26 @@
         return self.server, self.server_started_at
 
 
+class SuspectedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """Report a server that may have crashed during a request with this fingerprint.
+
+    `age` is the time since the request was sent (seconds). `is_unanswered` is whether
+    no server has responded to that copy of the request.
+    """
+
+    fingerprint: Name
+    server: Name
+    service: Name
+    server_started_at: Ordinal = 0
+    age: Age = 0.0
+    is_unanswered: bool = True
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what identifies the server process."""
+        return self.server, self.server_started_at
+
+
 class DismissedCrash(msgspec.Struct, frozen=True, array_like=True):
     """Report a server crash that a request did not cause, as a response has shown."""
 
@@ -85,6 +105,7 @@
     loads_by_data_centre: dict[Name, Rate] = {}
     remote_hosts: tuple[HostStatus, ...] = ()
     dismissed_crashes: tuple[DismissedCrash, ...] = ()
+    suspected_crashes: tuple[SuspectedCrash, ...] = ()
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag="view"):
