Suspicions: longer delays before they are told and saved (trial)

Change: shared for 1 s instead of 3, saved after 1.5 s unless the request may have crashed other servers too.

Most saves are of a hedged request whose servers are slow, not of one that came twice.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -16,7 +16,6 @@
 from crocusbay_gateway.coordination.suspicions import (
     HOLD_DELAY_SECONDS,
     MAX_AGE_SECONDS,
-    REPEATED_SAVE_DELAY_SECONDS,
     TRIAL_INTERVAL_SECONDS,
     ProcessState,
     Suspicion,
@@ -60,8 +59,6 @@
     ) -> None:
         self.quarantine = quarantine
         self.suspicions = Suspicions(find_state, hidden_time)
-        # Called when a suspicion is due to be saved sooner than others.
-        self.on_repeated: Callable[[], None] = lambda: None
         # Store revision up to which the crashes in the store are known here.
         self.seen_revision = -1
         self.now: Callable[[], float] = timers.now
@@ -161,15 +158,12 @@
                     crashes=1,
                 )
 
-    def suspect(self, suspicion: Suspicion, request_id: str, sign: str) -> bool:
-        """Record that a server may have crashed under a copy that this host sent.
-
-        Return whether that is news.
-        """
+    def suspect(self, suspicion: Suspicion, request_id: str, sign: str) -> None:
+        """Record that a server may have crashed under a copy that this host sent."""
         if self._is_judged(suspicion):
-            return False
+            return
         if not self.suspicions.record(suspicion, self.now()):
-            return False
+            return
         self._log.info(
             "crash-suspected",
             request=request_id,
@@ -180,13 +174,6 @@
             sign=sign,
             unanswered=suspicion.is_unanswered,
         )
-        fingerprint = suspicion.fingerprint
-        known = self.quarantine.crashes(fingerprint).keys()
-        if len(known | self.suspicions.of_request(fingerprint).keys()) > 1:
-            self._timers.at(
-                self.now() + REPEATED_SAVE_DELAY_SECONDS, lambda: self.on_repeated()
-            )
-        return True
 
     def record_suspicions(
         self, reports: tuple[SuspectedCrash, ...], source: str
@@ -238,7 +225,7 @@
         """Return the suspicions that must outlive all hosts, see `Suspicions`."""
         return self.suspicions.to_save(
             self.now(),
-            lambda fingerprint: len(self.quarantine.crashes(fingerprint)),
+            lambda fingerprint: self.quarantine.crashes(fingerprint).values(),
             includes_others=includes_others,
             is_last=is_last,
         )
@@ -397,16 +384,14 @@
 
     def suspect(self, server: Server, sent_at: float) -> None:
         """Suspect a crash, as there has been no response for longer than usual."""
-        is_news = self._suspect(self._make_crash(server.entry, sent_at), "overdue")
-        if is_news and not self.has_response:
-            self._monitor.report_soon()
+        self._suspect(self._make_crash(server.entry, sent_at), "overdue")
 
-    def _suspect(self, crash: Crash, sign: str) -> bool:
-        """Record that a server may have crashed; return whether that is news."""
+    def _suspect(self, crash: Crash, sign: str) -> None:
+        """Record that a server may have crashed."""
         if self._is_answered(crash):
-            return False
+            return
         self._suspected.add(crash.key)
-        return self._monitor.suspect(
+        self._monitor.suspect(
             Suspicion(
                 self.fingerprint,
                 crash.service,
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -7,7 +7,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
-import anyio
 import msgspec
 
 from crocusbay.transport.timers import TimerService
@@ -77,19 +76,15 @@
             log,
             timers,
         )
-        self._is_due = anyio.Event()
-        crash_monitor.on_repeated = lambda: self._is_due.set()
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
         await self._timers.sleep(STARTUP_DELAY_SECONDS)
         while True:
             is_done = await self.synchronize()
-            delay = SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
-            self._is_due = due = anyio.Event()
-            timer = self._timers.at(self._timers.now() + delay, due.set)
-            await due.wait()
-            timer.cancel()
+            await self._timers.sleep(
+                SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
+            )
 
     async def flush(self) -> None:
         """Write what this host knows before it stops."""
--- a/packages/gateway/crocusbay_gateway/coordination/suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/suspicions.py
@@ -32,11 +32,12 @@
 UNSEEN_ABSENCE_SECONDS = 2.0
 # Longer than the pauses of a server. If another one has responded to the copy, hosts
 # are told after this time.
-SHARE_DELAY_SECONDS = 0.1
+SHARE_DELAY_SECONDS = 0.3
 # A report that is sent later than another one by this time is about another copy.
 MIN_COPY_INTERVAL_SECONDS = 1.0
-# Suspicions are in the heartbeats of this period.
-SHARING_SECONDS = 3.0
+# Suspicions are in the heartbeats of this period, those of other hosts for less.
+SHARING_SECONDS = 1.0
+FORWARDING_SECONDS = 0.5
 # Suspicions in one heartbeat, limited so that it fits into a datagram.
 MAX_SHARED = 8
 # Suspicions of one request that are shared and saved: enough to quarantine it, and one
@@ -44,13 +45,13 @@
 MAX_SHARED_PER_REQUEST = 4
 MAX_REQUESTS = 1_000
 # How long a suspicion is kept in memory only, as most of them are soon cleared.
-SAVE_DELAY_SECONDS = 0.5
-# The same if other servers are suspected to have crashed under the request.
-REPEATED_SAVE_DELAY_SECONDS = 0.05
+SAVE_DELAY_SECONDS = 1.5
+# The same if the request may have crashed other servers too.
+REPEATED_SAVE_DELAY_SECONDS = 0.25
 # The host that sent the request should have saved its suspicion by then.
-OTHERS_SAVE_DELAY_SECONDS = 1.0
+OTHERS_SAVE_DELAY_SECONDS = 2.0
 # The store doesn't tell how old a suspicion is, so older ones are not written.
-MAX_SAVE_AGE_SECONDS = 2.0
+MAX_SAVE_AGE_SECONDS = 3.0
 
 # Suspicions of one host in the store, limited so that they fit into an object.
 MAX_SAVED = 500
@@ -193,7 +194,8 @@
         self._by_fingerprint.move_to_end(suspicion.fingerprint)
         while len(self._by_fingerprint) > MAX_REQUESTS:
             self._forget(next(iter(self._by_fingerprint)))
-        self._shared_until[suspicion.fingerprint] = now + SHARING_SECONDS
+        period = SHARING_SECONDS if suspicion.is_own else FORWARDING_SECONDS
+        self._shared_until[suspicion.fingerprint] = now + period
         self._shared_until.move_to_end(suspicion.fingerprint, last=False)
         return True
 
@@ -280,14 +282,14 @@
     def to_save(
         self,
         now: float,
-        crash_count: Callable[[str], int],
+        crashes_of: Callable[[str], Collection[Crash]],
         *,
         includes_others: bool,
         is_last: bool,
     ) -> list[Suspicion]:
         """Return the suspicions that must outlive all hosts.
 
-        `crash_count` returns the number of certain crashes of a request. With
+        `crashes_of` returns the certain crashes of a request. With
         `includes_others`, those of other hosts are returned that these should have
         saved by now; with `is_last`, own ones without delay.
         """
@@ -296,7 +298,12 @@
         due = []
         for fingerprint in self._by_fingerprint:
             decisive = self._decisive(fingerprint, now)
-            is_repeated = len(decisive) + crash_count(fingerprint) > 1
+            services = {each.service for each in decisive}
+            crash_count = sum(
+                each.is_unanswered or each.service in services
+                for each in crashes_of(fingerprint)
+            )
+            is_repeated = len(decisive) + crash_count > 1
             own_delay = (
                 0.0
                 if is_last
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_suspicions.py
@@ -1,5 +1,6 @@
 import pytest
 
+from crocusbay_gateway.coordination.quarantine import Crash
 from crocusbay_gateway.coordination.suspicions import (
     ABSENCE_SECONDS,
     HOLD_SECONDS,
@@ -155,7 +156,7 @@
     def due(now):
         return len(
             processes.suspicions.to_save(
-                now, lambda fingerprint: crash_count, **options
+                now, lambda fingerprint: crash_count * [crash], **options
             )
         )
 
