Suspicions: only other copies of a request count as a repetition

Cause: a primary and its hedge are two suspicions of one copy, and were saved as if the request had come twice.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -158,7 +158,7 @@
                     crashes=1,
                 )
 
-    def suspect(self, suspicion: Suspicion, request_id: str, sign: str) -> None:
+    def suspect(self, suspicion: Suspicion, sign: str) -> None:
         """Record that a server may have crashed under a copy that this host sent."""
         if self._is_judged(suspicion):
             return
@@ -166,7 +166,7 @@
             return
         self._log.info(
             "crash-suspected",
-            request=request_id,
+            request=suspicion.request_id,
             fingerprint=suspicion.fingerprint,
             service=suspicion.service,
             server=suspicion.server,
@@ -401,8 +401,8 @@
                 self._monitor.now(),
                 is_unanswered=not self.has_response,
                 is_own=True,
+                request_id=self._request_id,
             ),
-            self._request_id,
             sign,
         )
 
--- a/packages/gateway/crocusbay_gateway/coordination/suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/suspicions.py
@@ -46,7 +46,7 @@
 MAX_REQUESTS = 1_000
 # How long a suspicion is kept in memory only, as most of them are soon cleared.
 SAVE_DELAY_SECONDS = 1.5
-# The same if the request may have crashed other servers too.
+# The same if an earlier copy of the request may have crashed servers.
 REPEATED_SAVE_DELAY_SECONDS = 0.25
 # The host that sent the request should have saved its suspicion by then.
 OTHERS_SAVE_DELAY_SECONDS = 2.0
@@ -94,6 +94,8 @@
     known_since: float
     is_unanswered: bool = True
     is_own: bool = False
+    # The attempt ID of the copy, if this host has sent it.
+    request_id: str = ""
     # Whether this host has seen the process listed, and since when it is not any more.
     was_listed: bool = False
     absent_since: float | None = None
@@ -299,11 +301,10 @@
         for fingerprint in self._by_fingerprint:
             decisive = self._decisive(fingerprint, now)
             services = {each.service for each in decisive}
-            crash_count = sum(
+            is_repeated = len({each.request_id for each in decisive}) > 1 or any(
                 each.is_unanswered or each.service in services
                 for each in crashes_of(fingerprint)
             )
-            is_repeated = len(decisive) + crash_count > 1
             own_delay = (
                 0.0
                 if is_last
