Suspicions: a failure that a server states clears them

Cause: a server's own failure left the suspicion at other hosts, and the first host to poll saved it for them.

Change: any response clears the suspicion of its server. The first host to poll saves those of others only if two servers are suspected, and writes the crashes that only lost hosts had suspected.

--- a/packages/gateway/crocusbay_gateway/coordination/attempt.py
+++ b/packages/gateway/crocusbay_gateway/coordination/attempt.py
@@ -309,6 +309,8 @@
         match verdict:
             case Ran(response) if response.is_success and response.signature:
                 self._crashes.record_response(self.server.entry.service)
+            case Ran():
+                self._crashes.record_failure(self.server)
             case MayHaveRun(Cause.RESET):
                 self._crashes.suspect_reset(self.server, self.exchange.sent_at)
             case MayHaveRun(Cause.SILENT):
--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -64,6 +64,9 @@
         self.now: Callable[[], float] = timers.now
         # Requests whose crashes this host has observed or cleared, until `pop_changed`.
         self._changed: set[str] = set()
+        # Requests with crashes that only other hosts had suspected, until
+        # `pop_inherited`.
+        self._inherited: set[str] = set()
         self._log = log
         self._metrics = metrics
         self._timers = timers
@@ -240,6 +243,8 @@
         """Record the crashes that are now certain, whichever host suspected them."""
         for suspicion in self.suspicions.review(self.now()):
             source = SOURCE_OWN if suspicion.is_own else SOURCE_PEER
+            if not suspicion.is_own:
+                self._inherited.add(suspicion.fingerprint)
             self.record_crash(suspicion.fingerprint, suspicion.crash, source)
 
     def suspected_count(self, fingerprint: str) -> int:
@@ -299,8 +304,7 @@
         now = self.now()
         crash_count = self.quarantine.record_response(fingerprint, service, now)
         for suspicion in self.suspicions.remove_service(fingerprint, service):
-            dismissed = DismissedCrash(fingerprint, *suspicion.key)
-            self.quarantine.dismiss(dismissed, now)
+            self._dismiss(suspicion)
         if crash_count:
             self._log.warning(
                 "crashes-cleared",
@@ -311,6 +315,21 @@
             )
             self._changed.add(fingerprint)
 
+    def record_failure(self, fingerprint: str, key: tuple[str, int]) -> None:
+        """Record that a server responded to a request with a failure."""
+        suspicion = self.suspicions.clear(fingerprint, key)
+        if suspicion is not None:
+            self._dismiss(suspicion)
+
+    def _dismiss(self, suspicion: Suspicion) -> None:
+        dismissed = DismissedCrash(suspicion.fingerprint, *suspicion.key)
+        self.quarantine.dismiss(dismissed, self.now())
+
+    def pop_inherited(self) -> set[str]:
+        """Return the requests with crashes that only other hosts had suspected."""
+        inherited, self._inherited = self._inherited, set()
+        return inherited
+
     def pop_changed(self) -> set[str]:
         """Return the requests whose crashes this host has observed or cleared."""
         changed, self._changed = self._changed, set()
@@ -429,6 +448,11 @@
         crash = self._make_crash(server.entry, sent_at)
         server.pool.check_listening(handle_check)
 
+    def record_failure(self, server: Server) -> None:
+        """Record that a server responded to the request with a failure."""
+        key = server.entry.name, server.entry.started_at
+        self._monitor.record_failure(self.fingerprint, key)
+
     def record_response(self, service: str) -> None:
         """Record that a server of the service ran the request to its end."""
         if not self.has_response:
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -120,7 +120,11 @@
         is_reader = rank < READERS
         self._crash_monitor.review_suspicions()
         self._mark_changed(sorted(self._crash_monitor.pop_changed()))
+        inherited = self._crash_monitor.pop_inherited()
         expired = self._crash_monitor.pop_expired()
+        if rank == 0:
+            # The hosts that suspected these crashes may be lost.
+            self._mark_changed(sorted(inherited))
         if is_reader:
             self._mark_changed(expired)
             quarantined = self._crash_monitor.quarantine.quarantined
--- a/packages/gateway/crocusbay_gateway/coordination/suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/suspicions.py
@@ -214,15 +214,18 @@
 
         Return those that other hosts may know.
         """
-        was_told = fingerprint in self._told
-        removed = [
-            suspicion
+        keys = [
+            suspicion.key
             for suspicion in self.of_request(fingerprint).values()
             if suspicion.service == service
         ]
-        for suspicion in removed:
-            self.remove(fingerprint, suspicion.key)
-        return removed if was_told else []
+        return [each for key in keys if (each := self.clear(fingerprint, key))]
+
+    def clear(self, fingerprint: str, key: ProcessKey) -> Suspicion | None:
+        """Remove a suspicion of a process that runs; return it if others may know."""
+        was_told = fingerprint in self._told
+        removed = self.remove(fingerprint, key)
+        return removed if was_told else None
 
     def mark_answered(
         self, fingerprint: str, keys: Collection[ProcessKey], now: float
@@ -313,7 +316,10 @@
                 else SAVE_DELAY_SECONDS
             )
             for suspicion in decisive:
-                delay = own_delay if suspicion.is_own else others_delay
+                delay = own_delay
+                if not suspicion.is_own:
+                    # One alone is mostly that of a slow server.
+                    delay = others_delay if len(decisive) > 1 else float("inf")
                 if delay <= now - suspicion.known_since <= max_age:
                     due.append(suspicion)
         return due
