Suspicions: resets don't hold copies back, three of one copy are saved soon

Cause: a single copy of a gather is enough evidence to quarantine it, and was saved as late as that of one slow server. A reset behind an address that accepts connections is also that of a server that drops a response.

Change: suspicions of one copy that would quarantine it are saved after 0.25 s.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -177,6 +177,9 @@
             sign=sign,
             unanswered=suspicion.is_unanswered,
         )
+        others = self.suspicions.of_request(suspicion.fingerprint).values()
+        if len({each.request_id for each in others}) > 1:
+            self.report_soon()
 
     def record_suspicions(
         self, reports: tuple[SuspectedCrash, ...], source: str
@@ -197,6 +200,7 @@
                 now,
                 report.is_unanswered
                 and all(at < sent_at for at in responded_at.values()),
+                report.is_reset,
             )
             if self._is_judged(suspicion):
                 continue
@@ -252,8 +256,9 @@
 
         They do if they would quarantine the request together with its crashes. A
         service that has responded to a copy before, to this host or another, may have
-        lost responses to a harmless request. So may servers of which none has ended,
-        and one copy at a time finds that out.
+        lost responses to a harmless request. So may servers of which none has ended:
+        those that reset connections don't count then, and as to those that are silent,
+        one copy at a time finds out.
         """
         if self.quarantine.has_dismissed(fingerprint):
             return 0
@@ -266,6 +271,8 @@
             and each.known_since <= now - HOLD_DELAY_SECONDS
         ]
         crash_by_process = self.quarantine.crashes(fingerprint)
+        if not crash_by_process:
+            held = [each for each in held if not each.is_reset]
         suspected_by_process = {each.key: each.crash for each in held}
         if not decisive_crashes((suspected_by_process | crash_by_process).values()):
             return 0
@@ -419,6 +426,7 @@
                 crash.crashed_at,
                 self._monitor.now(),
                 is_unanswered=not self.has_response,
+                is_reset=sign == "reset",
                 is_own=True,
                 request_id=self._request_id,
             ),
--- a/packages/gateway/crocusbay_gateway/coordination/suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/suspicions.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 from itertools import chain
 
-from crocusbay_gateway.coordination.quarantine import Crash
+from crocusbay_gateway.coordination.quarantine import CRASHES_TO_QUARANTINE, Crash
 from crocusbay_gateway.protocol import SuspectedCrash
 
 # Most servers that are only slow have responded within this time.
@@ -46,7 +46,7 @@
 MAX_REQUESTS = 1_000
 # How long a suspicion is kept in memory only, as most of them are soon cleared.
 SAVE_DELAY_SECONDS = 1.5
-# The same if an earlier copy of the request may have crashed servers.
+# The same if another copy may have crashed servers too, or this one enough of them.
 REPEATED_SAVE_DELAY_SECONDS = 0.25
 # The host that sent the request should have saved its suspicion by then.
 OTHERS_SAVE_DELAY_SECONDS = 2.0
@@ -93,6 +93,8 @@
     sent_at: float
     known_since: float
     is_unanswered: bool = True
+    # Whether the connection was reset, as also by a server that drops a response.
+    is_reset: bool = False
     is_own: bool = False
     # The attempt ID of the copy, if this host has sent it.
     request_id: str = ""
@@ -126,6 +128,7 @@
             self.server_started_at,
             round(max(0.0, now - self.sent_at), 3),
             self.is_unanswered,
+            self.is_reset,
         )
 
 
@@ -134,6 +137,7 @@
     merged = replace(
         known,
         is_unanswered=known.is_unanswered and suspicion.is_unanswered,
+        is_reset=known.is_reset or suspicion.is_reset,
         is_own=known.is_own or suspicion.is_own,
     )
     is_own = known.is_own and suspicion.is_own
@@ -304,9 +308,13 @@
         for fingerprint in self._by_fingerprint:
             decisive = self._decisive(fingerprint, now)
             services = {each.service for each in decisive}
-            is_repeated = len({each.request_id for each in decisive}) > 1 or any(
-                each.is_unanswered or each.service in services
-                for each in crashes_of(fingerprint)
+            is_repeated = (
+                len(decisive) >= CRASHES_TO_QUARANTINE
+                or len({each.request_id for each in decisive}) > 1
+                or any(
+                    each.is_unanswered or each.service in services
+                    for each in crashes_of(fingerprint)
+                )
             )
             own_delay = (
                 0.0
--- a/packages/gateway/crocusbay_gateway/protocol/peer.py
+++ b/packages/gateway/crocusbay_gateway/protocol/peer.py
@@ -46,7 +46,8 @@
     """Report a server that may have crashed during a request with this fingerprint.
 
     `age` is the time since the request was sent (seconds). `is_unanswered` is whether
-    no server has responded to that copy of the request.
+    no server has responded to that copy of the request, `is_reset` whether the
+    connection was reset while something listened at the address.
     """
 
     fingerprint: Name
@@ -55,6 +56,7 @@
     server_started_at: Ordinal = 0
     age: Age = 0.0
     is_unanswered: bool = True
+    is_reset: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
