Suspicions: those of a second copy are saved at once, late timers not skipped

Cause: the check for overdue attempts was skipped for a whole period if its timer came over 50 ms late, as on a busy machine; and suspicions of a second copy were written at the next round only, up to 0.5 s later, so that a kill 0.5 s after the third crash lost the third one.

Change: a late timer checks again 20 ms later, when responses have been read. Suspicions of a second copy are written after 0.05 s.

--- a/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
+++ b/packages/gateway/crocusbay_gateway/coordination/crash_monitor.py
@@ -16,6 +16,7 @@
 from crocusbay_gateway.coordination.suspicions import (
     HOLD_DELAY_SECONDS,
     MAX_AGE_SECONDS,
+    REPEATED_SAVE_DELAY_SECONDS,
     TRIAL_INTERVAL_SECONDS,
     ProcessState,
     Suspicion,
@@ -59,6 +60,8 @@
     ) -> None:
         self.quarantine = quarantine
         self.suspicions = Suspicions(find_state, hidden_time)
+        # Called when suspicions of a second copy of a request are due to be saved.
+        self.on_repeated: Callable[[], None] = lambda: None
         # Store revision up to which the crashes in the store are known here.
         self.seen_revision = -1
         self.now: Callable[[], float] = timers.now
@@ -180,6 +183,9 @@
         others = self.suspicions.of_request(suspicion.fingerprint).values()
         if len({each.request_id for each in others}) > 1:
             self.report_soon()
+            self._timers.at(
+                self.now() + REPEATED_SAVE_DELAY_SECONDS, lambda: self.on_repeated()
+            )
 
     def record_suspicions(
         self, reports: tuple[SuspectedCrash, ...], source: str
--- a/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
+++ b/packages/gateway/crocusbay_gateway/coordination/quarantine_store.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+import anyio
 import msgspec
 
 from crocusbay.transport.timers import TimerService
@@ -76,15 +77,25 @@
             log,
             timers,
         )
+        self._is_due = anyio.Event()
+        crash_monitor.on_repeated = lambda: self._is_due.set()
 
     async def run(self) -> None:
         """Synchronize until cancelled."""
         await self._timers.sleep(STARTUP_DELAY_SECONDS)
         while True:
             is_done = await self.synchronize()
-            await self._timers.sleep(
-                SYNCHRONIZATION_INTERVAL_SECONDS if is_done else RETRY_SECONDS
-            )
+            if is_done:
+                await self._wait(SYNCHRONIZATION_INTERVAL_SECONDS)
+            else:
+                await self._timers.sleep(RETRY_SECONDS)
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait, but not longer than until suspicions are due to be saved."""
+        self._is_due = due = anyio.Event()
+        timer = self._timers.at(self._timers.now() + seconds, due.set)
+        await due.wait()
+        timer.cancel()
 
     async def flush(self) -> None:
         """Write what this host knows before it stops."""
--- a/packages/gateway/crocusbay_gateway/coordination/relay_server.py
+++ b/packages/gateway/crocusbay_gateway/coordination/relay_server.py
@@ -13,6 +13,7 @@
 from crocusbay_gateway.coordination.request_handler import (
     MAX_TIMER_DELAY_SECONDS,
     OVERDUE_HEDGE_DELAYS,
+    READING_SECONDS,
 )
 from crocusbay_gateway.protocol import (
     RelayCancel,
@@ -127,11 +128,19 @@
         due_at = self._context.timers.now() + delay
 
         def check() -> None:
+            now = self._context.timers.now()
+            if now < due_at + MAX_TIMER_DELAY_SECONDS:
+                suspect()
+            else:
+                self._overdue_timer = self._context.timers.at(
+                    now + READING_SECONDS, suspect
+                )
+
+        def suspect() -> None:
             if self._has_ended:
                 return
-            if self._context.timers.now() < due_at + MAX_TIMER_DELAY_SECONDS:
-                for attempt in self._in_flight.values():
-                    attempt.suspect_if_overdue(OVERDUE_HEDGE_DELAYS)
+            for attempt in self._in_flight.values():
+                attempt.suspect_if_overdue(OVERDUE_HEDGE_DELAYS)
             self._watch_overdue()
 
         self._overdue_timer = self._context.timers.at(due_at, check)
--- a/packages/gateway/crocusbay_gateway/coordination/request_handler.py
+++ b/packages/gateway/crocusbay_gateway/coordination/request_handler.py
@@ -17,6 +17,8 @@
 ENDED_HEDGE_DELAYS = 1.0
 # Responses may wait to be read if a timer is later than this.
 MAX_TIMER_DELAY_SECONDS = 0.05
+# By then they have been read.
+READING_SECONDS = 0.02
 
 Outcome = TypeVar("Outcome")
 _INTERRUPTED = object()
@@ -104,7 +106,12 @@
 
         def check() -> None:
             if self._now() < due_at + MAX_TIMER_DELAY_SECONDS:
-                self._suspect_overdue(OVERDUE_HEDGE_DELAYS)
+                suspect()
+            else:
+                self._call_at(self._now() + READING_SECONDS, suspect)
+
+        def suspect() -> None:
+            self._suspect_overdue(OVERDUE_HEDGE_DELAYS)
             self._watch_overdue()
 
         self._call_at(due_at, check)
--- a/packages/gateway/crocusbay_gateway/coordination/suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/suspicions.py
@@ -46,8 +46,10 @@
 MAX_REQUESTS = 1_000
 # How long a suspicion is kept in memory only, as most of them are soon cleared.
 SAVE_DELAY_SECONDS = 1.5
-# The same if another copy may have crashed servers too, or this one enough of them.
-REPEATED_SAVE_DELAY_SECONDS = 0.25
+# The same if this copy may have crashed enough servers to quarantine the request, or if
+# another copy may have crashed servers too.
+DECISIVE_SAVE_DELAY_SECONDS = 0.25
+REPEATED_SAVE_DELAY_SECONDS = 0.05
 # The host that sent the request should have saved its suspicion by then.
 OTHERS_SAVE_DELAY_SECONDS = 2.0
 # The store doesn't tell how old a suspicion is, so older ones are not written.
@@ -132,6 +134,18 @@
         )
 
 
+def _save_delay(decisive: Collection[Suspicion], crashes: Collection[Crash]) -> float:
+    """Return how long the suspicions of a request are kept in memory only (seconds)."""
+    services = {each.service for each in decisive}
+    if len({each.request_id for each in decisive}) > 1 or any(
+        each.is_unanswered or each.service in services for each in crashes
+    ):
+        return REPEATED_SAVE_DELAY_SECONDS
+    if len(decisive) >= CRASHES_TO_QUARANTINE:
+        return DECISIVE_SAVE_DELAY_SECONDS
+    return SAVE_DELAY_SECONDS
+
+
 def _merge(known: Suspicion, suspicion: Suspicion) -> Suspicion:
     """Return what is known of a process after one more suspicion of it."""
     merged = replace(
@@ -307,22 +321,9 @@
         due = []
         for fingerprint in self._by_fingerprint:
             decisive = self._decisive(fingerprint, now)
-            services = {each.service for each in decisive}
-            is_repeated = (
-                len(decisive) >= CRASHES_TO_QUARANTINE
-                or len({each.request_id for each in decisive}) > 1
-                or any(
-                    each.is_unanswered or each.service in services
-                    for each in crashes_of(fingerprint)
-                )
-            )
-            own_delay = (
-                0.0
-                if is_last
-                else REPEATED_SAVE_DELAY_SECONDS
-                if is_repeated
-                else SAVE_DELAY_SECONDS
-            )
+            own_delay = 0.0
+            if not is_last:
+                own_delay = _save_delay(decisive, crashes_of(fingerprint))
             for suspicion in decisive:
                 delay = own_delay
                 if not suspicion.is_own:
--- a/packages/gateway/crocusbay_gateway/coordination/tests/test_suspicions.py
+++ b/packages/gateway/crocusbay_gateway/coordination/tests/test_suspicions.py
@@ -3,6 +3,7 @@
 from crocusbay_gateway.coordination.quarantine import Crash
 from crocusbay_gateway.coordination.suspicions import (
     ABSENCE_SECONDS,
+    DECISIVE_SAVE_DELAY_SECONDS,
     HOLD_SECONDS,
     MAX_AGE_SECONDS,
     MAX_HIDDEN_AGE_SECONDS,
@@ -144,6 +145,7 @@
         # The servers of one copy, as of a hedge.
         (2, False, 0, {}, SAVE_DELAY_SECONDS),
         (2, True, 0, {}, REPEATED_SAVE_DELAY_SECONDS),
+        (3, False, 0, {}, DECISIVE_SAVE_DELAY_SECONDS),
         (1, False, 1, {}, REPEATED_SAVE_DELAY_SECONDS),
         (1, False, 0, {"is_last": True}, 0.0),
         (1, False, 0, {"is_own": False}, None),
