Own interface: a host listens to signals before it starts

Cause: the task that receives signals was only scheduled, and the host began to listen before it ran. A SIGTERM in that time ended the process at once, also in the middle of its start.

Ruled out: a slow machine alone; the new test sends the signal before anything of the host has run, and failed each time (-15).

Change: the host starts once the receiver is open.

Hosts on the platform have their own program and aren't touched.

--- a/packages/host/crocusbay_host/main.py
+++ b/packages/host/crocusbay_host/main.py
@@ -7,6 +7,7 @@
 
 import anyio
 import click
+from anyio.abc import TaskStatus
 
 from crocusbay.state import HybridClock
 from crocusbay.state.settings import Settings, parse_settings
@@ -56,13 +57,16 @@
 async def _run(settings: Settings, clock: HybridClock) -> None:
     host = Host(settings, clock)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_leave_on_signal, host)
+        await tasks.start(_leave_on_signal, host)
         await host.run(App(host), _print_addresses)
         tasks.cancel_scope.cancel()
 
 
-async def _leave_on_signal(host: Host) -> None:
+async def _leave_on_signal(
+    host: Host, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
         async for _ in signals:
             host.leave()
 
--- a/packages/standins/crocusbay_standins/tests/test_host_start.py
+++ b/packages/standins/crocusbay_standins/tests/test_host_start.py
@@ -12,6 +12,17 @@
 import pytest
 
 HOST_PROGRAM = "from crocusbay_host.main import main; main()"
+# Sends the signal before anything of the host has run.
+STOPPED_HOST_PROGRAM = """
+import os, signal
+from crocusbay_host import main
+run = main.Host.run
+async def stop_and_run(host, *args):
+    os.kill(os.getpid(), signal.SIGTERM)
+    await run(host, *args)
+main.Host.run = stop_and_run
+main.main()
+"""
 TIMEOUT_SECONDS = 20.0
 FREE_ADDRESS = "127.0.0.1:0"
 # The names under which a host prints its addresses once it has started.
@@ -34,7 +45,7 @@
 
 
 @contextlib.contextmanager
-def start_host(folder, callers=FREE_ADDRESS, peers=FREE_ADDRESS):
+def start_host(folder, callers=FREE_ADDRESS, peers=FREE_ADDRESS, program=HOST_PROGRAM):
     settings_file = folder / "host-1.ini"
     settings_file.write_text(
         "[host]\nname = host-1\nplace = sofia-1\n"
@@ -45,7 +56,7 @@
     output_file = folder / "output"
     with output_file.open("w") as output:
         process = subprocess.Popen(
-            [sys.executable, "-c", HOST_PROGRAM, str(settings_file)],
+            [sys.executable, "-c", program, str(settings_file)],
             stdout=output,
             stderr=output,
         )
@@ -87,3 +98,9 @@
         host.wait_for_output("not-listening")
         host.process.send_signal(signal.SIGTERM)
         assert host.process.wait(TIMEOUT_SECONDS) == 0
+
+
+def test_host_that_is_stopped_as_it_starts_stops_as_planned(tmp_path):
+    """Guard against a signal that comes before the host listens to signals."""
+    with start_host(tmp_path, program=STOPPED_HOST_PROGRAM) as host:
+        assert host.process.wait(TIMEOUT_SECONDS) == 0
