--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from standins_2.callers import Traffic, list_requests
+from standins_2.callers import Outcome, Traffic, list_requests
 from standins_2.hosts import BOUNDS, Host, make_hosts
 from standins_2.servers import Server, list_arrivals
 from standins_2.store import Store
@@ -18,20 +18,29 @@
 RESTART_SECONDS = 1.0
 # The leaving server ends this long after its entry is removed.
 SERVES_SECONDS = 9.5
+WORK_SECONDS = 0.1
+
+
+def make_route(name: str, kind: str) -> dict:
+    """Return a route to the servers."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "path-prefix": f"/{name}/",
+        "type": kind,
+        "service": "sheets",
+        "timeout-ms": 2000,
+        "latency-goal-ms": 500,
+        "max-attempts": 2,
+        "priority": 0,
+    }
+
+
 CONFIGURATION = {
     "version": 3,
     "routes": [
-        {
-            "name": "sheets",
-            "host": "shop.example",
-            "path-prefix": "/sheets/",
-            "type": "idempotent",
-            "service": "sheets",
-            "timeout-ms": 2000,
-            "latency-goal-ms": 500,
-            "max-attempts": 2,
-            "priority": 0,
-        }
+        make_route("sheets", "idempotent"),
+        make_route("orders", "non_idempotent"),
     ],
     "services": [{"name": "sheets", "max-conns": 96, "health-path": "/health"}],
     "limits": {
@@ -56,11 +65,12 @@
         self.hosts: list[Host] = []
         self.readers: list[tuple[float, str]] = []
         self.notes_readers = False
-        self.traffic = Traffic(
-            lambda: [host.address for host in self.hosts if host.is_running],
-            "/sheets/",
-            0.02,
-        )
+        self.reads = Traffic(self.running_addresses, "/sheets/", 0.02)
+        self.orders = Traffic(self.running_addresses, "/orders/", 0.02, "POST")
+
+    def running_addresses(self) -> list[str]:
+        """Return the addresses of the hosts that run."""
+        return [host.address for host in self.hosts if host.is_running]
 
     def say(self, text: str) -> None:
         """Add a line to the record."""
@@ -77,9 +87,17 @@
             self.readers.append((time.monotonic(), host))
             self.say(f"{host} reads the servers; removed: {removed}")
 
+    @property
+    def outcomes(self) -> list[Outcome]:
+        """Return what became of all requests."""
+        return [*self.reads.outcomes, *self.orders.outcomes]
+
     async def play(self) -> int:
         """Return the exit status."""
-        servers = [Server(f"i-{number}", "sheets") for number in range(3)]
+        servers = [
+            Server(f"i-{number}", "sheets", work_seconds=WORK_SECONDS)
+            for number in range(3)
+        ]
         for server in servers:
             await server.start()
             server.register(self.store)
@@ -94,17 +112,19 @@
             for host in self.hosts:
                 await host.wait_ready()
             self.say("all hosts are ready")
-            self.traffic.start(8)
+            self.reads.start(16)
+            self.orders.start(16)
             return await self.trouble(servers[0])
         finally:
-            self.traffic.stop()
+            self.reads.stop()
+            self.orders.stop()
             for host in self.hosts:
                 host.kill()
             for server in servers:
                 server.stop()
             folder.cleanup()
             self.details = [
-                *list_requests(self.traffic.outcomes, self.start),
+                *list_requests(self.outcomes, self.start),
                 *list_arrivals(servers, self.start),
             ]
 
@@ -138,11 +158,13 @@
             self.say(f"{killed.name} is started again")
         await asyncio.sleep(removed_at + SERVES_SECONDS - time.monotonic())
         leaving.stop()
+        ended_at = time.monotonic()
         self.say(f"{leaving.name} ends")
+        await asyncio.sleep(WORK_SECONDS)
         # From here on the store is stable and the hosts that were not killed in touch.
         in_touch_at = back_at + BOUNDS["stable-window-ms"] / 1000
         late_at = max(in_touch_at, removed_at + BOUNDS["drain-ms"] / 1000)
-        by_attempt = {each.attempt: each for each in self.traffic.outcomes}
+        by_attempt = {each.attempt: each for each in self.outcomes}
         late = [
             (at, attempt)
             for at, attempt, _, is_meant, _ in leaving.arrivals
@@ -157,9 +179,18 @@
                 f"{attempt}, sent to {host}, reached {leaving.name}"
                 f" {at - removed_at:.3f} s after its removal"
             )
-        statuses = [each.status for each in self.traffic.outcomes]
+        statuses = [each.status for each in self.outcomes]
         counts = {status: statuses.count(status) for status in set(statuses)}
         self.say(f"answers by status: {counts}")
+        on_leaving = {attempt for _, attempt, *_ in leaving.arrivals}
+        broken = [
+            each
+            for each in self.orders.outcomes
+            if each.attempt in on_leaving
+            and each.status != 200
+            and each.sent_at < ended_at < each.ended_at + WORK_SECONDS
+        ]
+        self.say(f"orders broken off when {leaving.name} ended: {len(broken)}")
         self.say(f"requests that reached {leaving.name} too late: {len(late)}")
         return 1 if late else 0
 
--- a/review/standins_2/callers.py
+++ b/review/standins_2/callers.py
@@ -67,12 +67,17 @@
     """Callers that send requests to each host in turn until they are stopped."""
 
     def __init__(
-        self, addresses: Callable[[], list[str]], path: str, pause_seconds: float
+        self,
+        addresses: Callable[[], list[str]],
+        path: str,
+        pause_seconds: float,
+        method: str = "GET",
     ) -> None:
         self.outcomes: list[Outcome] = []
         self._addresses = addresses
         self._path = path
         self._pause_seconds = pause_seconds
+        self._method = method
         self._tasks: list[asyncio.Task] = []
 
     def start(self, callers: int) -> None:
@@ -91,8 +96,14 @@
         while True:
             for address in self._addresses():
                 count += 1
-                attempt = f"c{number}x{count}"
-                outcome = await call(address, attempt, f"{self._path}{attempt}")
+                attempt = f"{self._method.lower()}{number}x{count}"
+                outcome = await call(
+                    address,
+                    attempt,
+                    f"{self._path}{attempt}",
+                    method=self._method,
+                    body=b"order" if self._method == "POST" else b"",
+                )
                 self.outcomes.append(outcome)
                 await asyncio.sleep(self._pause_seconds)
 
