--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 from standins_2.store import Store
 
 HOSTS = 3
-CYCLES = 6
+CYCLES = 8
 SERVERS = 16
 # Servers that leave in each cycle, one after the other.
 LEAVING = 8
