--- a/review/standins_2/callers.py
+++ b/review/standins_2/callers.py
@@ -94,7 +94,10 @@
     async def _run(self, number: int) -> None:
         count = 0
         while True:
-            for address in self._addresses():
+            addresses = self._addresses()
+            if not addresses:
+                await asyncio.sleep(self._pause_seconds)
+            for address in addresses:
                 count += 1
                 attempt = f"{self._method.lower()}{number}x{count}"
                 outcome = await call(
