--- a/review/6/case.py
+++ b/review/6/case.py
@@ -192,6 +192,9 @@
         ]
         self.say(f"orders broken off when {leaving.name} ended: {len(broken)}")
         self.say(f"requests that reached {leaving.name} too late: {len(late)}")
+        if 200 not in counts:
+            self.say("the case could not run: nothing was served")
+            return 2
         return 1 if late else 0
 
     async def wait_until_no_watch(self) -> None:
@@ -206,7 +209,7 @@
     status = 2
     try:
         status = asyncio.run(asyncio.wait_for(case.play(), 100))
-    except (OSError, TimeoutError) as error:
+    except Exception as error:
         case.say(f"the case could not run: {error!r}")
     case.say(f"exit status {status}")
     Path("record.txt").write_text("\n".join([*case.lines, *case.details, ""]))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -191,6 +191,9 @@
         counts = {status: statuses.count(status) for status in set(statuses)}
         self.say(f"answers by status: {counts}")
         self.say(f"requests that reached servers too late: {late}")
+        if 200 not in counts:
+            self.say("the case could not run: nothing was served")
+            return 2
         return 1 if late else 0
 
 
@@ -200,7 +203,7 @@
     status = 2
     try:
         status = asyncio.run(asyncio.wait_for(case.play(), 115))
-    except (OSError, TimeoutError) as error:
+    except Exception as error:
         case.say(f"the case could not run: {error!r}")
     case.say(f"exit status {status}")
     Path("record.txt").write_text("\n".join([*case.lines, *case.details, ""]))
